--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,205 @@
+// Package api serves users, workers and health checks over HTTP.
+package api
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"dalefront/wire"
+)
+
+// Errors that the service answers with.
+var (
+	ErrNotNow   = errors.New("can't decide now")    // 503
+	ErrUnknown  = errors.New("no such job")         // 404
+	ErrNever    = errors.New("can never run")       // 422
+	ErrElse     = errors.New("not entitled to act") // 421
+	ErrOverload = errors.New("too many requests")   // 429
+)
+
+// Service is what the node offers to HTTP.
+type Service interface {
+	Submit(ctx context.Context, j *wire.Job) (wire.JobStatus, bool, error)
+	Status(ctx context.Context, id string) (wire.JobStatus, error)
+	Cancel(ctx context.Context, id string) (wire.JobStatus, error)
+	Report(ctx context.Context, r *wire.Report) (wire.ReportAnswer, error)
+	Healthy() bool
+}
+
+const contentType = "application/msgpack"
+
+func reply(w http.ResponseWriter, code int, body any) {
+	w.Header().Set("Content-Type", contentType)
+	b, err := wire.Marshal(body)
+	if err != nil {
+		code, b = http.StatusInternalServerError, nil
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(code)
+	_, _ = w.Write(b)
+}
+
+func refuse(w http.ResponseWriter, err error) {
+	code := http.StatusServiceUnavailable
+	switch {
+	case errors.Is(err, wire.ErrMalformed):
+		code = http.StatusBadRequest
+	case errors.Is(err, ErrUnknown):
+		code = http.StatusNotFound
+	case errors.Is(err, ErrNever):
+		code = http.StatusUnprocessableEntity
+	case errors.Is(err, ErrElse):
+		reply(w, http.StatusMisdirectedRequest, wire.Redirect{})
+		return
+	case errors.Is(err, ErrOverload):
+		code = http.StatusTooManyRequests
+	}
+	if code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", "1")
+	}
+	reply(w, code, wire.Error{Error: err.Error()})
+}
+
+func body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+	if err != nil {
+		return nil, wire.ErrMalformed
+	}
+	return b, nil
+}
+
+// The service answers within this time: users wait 5 s for a submission and 2 s
+// for a query, workers 4 s.
+const (
+	submitLimit = 3 * time.Second
+	queryLimit  = 1500 * time.Millisecond
+	reportLimit = 2500 * time.Millisecond
+)
+
+// Handler serves all paths.
+func Handler(s Service) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathJobs, func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), submitLimit)
+		defer cancel()
+		b, err := body(w, r)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		j, err := wire.ParseJob(b)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		st, created, err := s.Submit(ctx, j)
+		switch {
+		case err != nil:
+			refuse(w, err)
+		case created:
+			reply(w, http.StatusCreated, st)
+		default:
+			reply(w, http.StatusOK, st)
+		}
+	})
+	mux.HandleFunc("GET "+wire.PathJobs+"/{id}", func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), queryLimit)
+		defer cancel()
+		answer(w, r, func(id string) (wire.JobStatus, error) { return s.Status(ctx, id) })
+	})
+	mux.HandleFunc("POST "+wire.PathJobs+"/{id}/"+wire.CancelVerb, func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), submitLimit)
+		defer cancel()
+		answer(w, r, func(id string) (wire.JobStatus, error) { return s.Cancel(ctx, id) })
+	})
+	mux.HandleFunc("POST "+wire.PathReport, func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), reportLimit)
+		defer cancel()
+		var rep wire.Report
+		b, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+		if err != nil || wire.Unmarshal(b, &rep) != nil || rep.Host == "" {
+			refuse(w, wire.ErrMalformed)
+			return
+		}
+		a, err := s.Report(ctx, &rep)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		reply(w, http.StatusOK, a)
+	})
+	mux.HandleFunc("GET "+wire.PathHealth, func(w http.ResponseWriter, r *http.Request) {
+		if !s.Healthy() {
+			refuse(w, ErrNotNow)
+			return
+		}
+		reply(w, http.StatusOK, map[string]bool{"ok": true})
+	})
+	return mux
+}
+
+func answer(w http.ResponseWriter, r *http.Request, ask func(string) (wire.JobStatus, error)) {
+	id := r.PathValue("id")
+	if !wire.ValidID(id) || strings.ContainsRune(id, '/') {
+		refuse(w, ErrUnknown)
+		return
+	}
+	st, err := ask(id)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	reply(w, http.StatusOK, st)
+}
+
+// NewServer returns the HTTP server. It keeps open connections below the
+// socket budget by closing those that are idle when the budget runs short.
+func NewServer(h http.Handler, sockets int) *http.Server {
+	var mu sync.Mutex
+	idle := map[net.Conn]time.Time{}
+	open := 0
+	budget := max(16, sockets-64) // the rest is for the state service, cloud, workers and peers
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: 5 * time.Second,
+		ReadTimeout:       10 * time.Second,
+		WriteTimeout:      10 * time.Second,
+		IdleTimeout:       60 * time.Second,
+		MaxHeaderBytes:    16 << 10,
+		ConnState: func(c net.Conn, st http.ConnState) {
+			mu.Lock()
+			defer mu.Unlock()
+			switch st {
+			case http.StateNew:
+				open++
+				if open > budget {
+					var oldest net.Conn
+					for k, t := range idle {
+						if oldest == nil || t.Before(idle[oldest]) {
+							oldest = k
+						}
+					}
+					if oldest == nil {
+						oldest = c
+					}
+					delete(idle, oldest)
+					_ = oldest.Close()
+				}
+			case http.StateIdle:
+				idle[c] = time.Now()
+			case http.StateActive:
+				delete(idle, c)
+			case http.StateClosed, http.StateHijacked:
+				delete(idle, c)
+				open--
+			}
+		},
+	}
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,85 @@
+// Package cloud is the typed client of the cloud that rents machines.
+package cloud
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"dalefront/internal/httpc"
+	"dalefront/wire"
+)
+
+// ErrNoCapacity means that the cloud has no machine of the kind asked for.
+var ErrNoCapacity = errors.New("no capacity")
+
+// Client keeps to the cloud's request rate.
+type Client struct {
+	calls *httpc.Client
+	rate  *rate.Limiter
+}
+
+// New returns a client that uses at most share of the rate.
+func New(addr string, rps, share float64) *Client {
+	return &Client{calls: httpc.New("http://"+addr, 4), rate: rate.NewLimiter(rate.Limit(rps*share), max(1, int(rps*share)))}
+}
+
+const callLimit = 4 * time.Second
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	if err := c.rate.Wait(ctx); err != nil {
+		return err
+	}
+	return c.calls.Call(ctx, callLimit, method, path, in, out)
+}
+
+// Catalog reads the machine types and their current prices.
+func (c *Client) Catalog(ctx context.Context) (wire.Catalog, error) {
+	var cat wire.Catalog
+	err := c.call(ctx, http.MethodGet, wire.PathCatalog, nil, &cat)
+	return cat, err
+}
+
+// Hire rents machines. The request's name must be stored before and never be
+// used for another request.
+func (c *Client) Hire(ctx context.Context, h wire.Hire) ([]string, error) {
+	var a wire.Hosts
+	err := c.call(ctx, http.MethodPost, wire.PathRentals, h, &a)
+	var se *httpc.StatusError
+	if errors.As(err, &se) && se.Code == http.StatusServiceUnavailable && se.Text == ErrNoCapacity.Error() {
+		return nil, ErrNoCapacity
+	}
+	return a.Hosts, err
+}
+
+// Return gives machines back. After it succeeds they, and everything on them,
+// are gone.
+func (c *Client) Return(ctx context.Context, hosts []string) error {
+	return c.call(ctx, http.MethodPost, wire.PathReturn, wire.Hosts{Hosts: hosts}, nil)
+}
+
+// List reads the whole machine list, which lags.
+func (c *Client) List(ctx context.Context) ([]wire.Machine, error) {
+	var all []wire.Machine
+	from := ""
+	for {
+		q := url.Values{"Page": {"500"}}
+		if from != "" {
+			q.Set("From", from)
+		}
+		var page wire.Machines
+		if err := c.call(ctx, http.MethodGet, wire.PathRentals+"?"+q.Encode(), nil, &page); err != nil {
+			return nil, fmt.Errorf("machine list: %w", err)
+		}
+		all = append(all, page.Hosts...)
+		if !page.More || len(page.Hosts) == 0 {
+			return all, nil
+		}
+		from = page.Hosts[len(page.Hosts)-1].ID
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,257 @@
+// Package config reads and checks the platform's settings (TOML) and the
+// operator's own (HCL). Durations become whole microseconds.
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"sort"
+
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Micros is a duration or a point of time in whole microseconds.
+type Micros = int64
+
+// Second is a second in microseconds.
+const Second Micros = 1_000_000
+
+// Micro turns seconds into microseconds.
+func Micro(seconds float64) Micros { return Micros(math.Round(seconds * float64(Second))) }
+
+// Member is another controller.
+type Member struct {
+	Label string `toml:"label"`
+	Zone  string `toml:"zone"`
+	Addr  string `toml:"addr"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is one aim of the users.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Workers holds the workers' timings.
+type Workers struct {
+	ReportS   float64 `toml:"report_s"`
+	LeaseS    float64 `toml:"lease_s"`
+	GangWaitS float64 `toml:"gang_wait_s"`
+	GangPeerS float64 `toml:"gang_peer_s"`
+	CancelS   float64 `toml:"cancel_s"`
+}
+
+// Settings is what the platform hands over.
+type Settings struct {
+	Label     string   `toml:"label"`
+	Zone      string   `toml:"zone"`
+	ServeOn   string   `toml:"serve_on"`
+	MeshAddr  string   `toml:"mesh_addr"`
+	Members   []Member `toml:"members"`
+	Endpoints struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"endpoints"`
+	Deployment struct {
+		Size       int         `toml:"size"`
+		Zones      []string    `toml:"zones"`
+		ClockOffMs float64     `toml:"clock_off_ms"`
+		Teams      []Team      `toml:"teams"`
+		Objectives []Objective `toml:"objectives"`
+		Workers    Workers     `toml:"workers"`
+		State      struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Resources struct {
+			Cores   float64 `toml:"cores"`
+			RAMMB   float64 `toml:"ram_mb"`
+			Sockets int     `toml:"sockets"`
+		} `toml:"resources"`
+	} `toml:"deployment"`
+
+	Operator Operator `toml:"-"`
+}
+
+// Operator holds the settings that an operator may tune. docs/operations.md
+// lists them with their defaults and ranges.
+type Operator struct {
+	IdleReturnS   *float64 `hcl:"idle_return_s,optional"`
+	EvictAfterS   *float64 `hcl:"evict_after_s,optional"`
+	SpareFactor   *float64 `hcl:"spare_factor,optional"`
+	MaxMachines   *int     `hcl:"max_machines,optional"`
+	TermS         *float64 `hcl:"term_s,optional"`
+	CheckpointMBS *float64 `hcl:"checkpoint_mb_per_s,optional"`
+}
+
+func or[T any](p *T, def T) *T {
+	if p == nil {
+		return &def
+	}
+	return p
+}
+
+func (o *Operator) defaults() {
+	o.IdleReturnS = or(o.IdleReturnS, 75)
+	o.EvictAfterS = or(o.EvictAfterS, 1.5)
+	o.SpareFactor = or(o.SpareFactor, 1)
+	o.MaxMachines = or(o.MaxMachines, 1000)
+	o.TermS = or(o.TermS, 3)
+	o.CheckpointMBS = or(o.CheckpointMBS, 100)
+}
+
+func (o *Operator) check() error {
+	for _, f := range []struct {
+		name      string
+		v, lo, hi float64
+	}{
+		{"idle_return_s", *o.IdleReturnS, 1, 86400},
+		{"evict_after_s", *o.EvictAfterS, 0, 3600},
+		{"spare_factor", *o.SpareFactor, 0, 10},
+		{"max_machines", float64(*o.MaxMachines), 1, 100000},
+		{"term_s", *o.TermS, 0.5, 60},
+		{"checkpoint_mb_per_s", *o.CheckpointMBS, 0.1, 1e6},
+	} {
+		if !(f.v >= f.lo && f.v <= f.hi) {
+			return fmt.Errorf("%s: must be from %g to %g", f.name, f.lo, f.hi)
+		}
+	}
+	return nil
+}
+
+// Load reads the platform's file and, when operator is not empty, the HCL file.
+// An error is one line that names the file and the field.
+func Load(path, operator string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s, err := Parse(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if operator != "" {
+		if err := s.readOperator(operator); err != nil {
+			return nil, err
+		}
+	}
+	s.Operator.defaults()
+	if err := s.Operator.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", operator, err)
+	}
+	return s, nil
+}
+
+func (s *Settings) readOperator(path string) error {
+	f, diags := hclparse.NewParser().ParseHCLFile(path)
+	if !diags.HasErrors() {
+		diags = gohcl.DecodeBody(f.Body, nil, &s.Operator)
+	}
+	if diags.HasErrors() {
+		d := diags[0]
+		line := 0
+		if d.Subject != nil {
+			line = d.Subject.Start.Line
+		}
+		return fmt.Errorf("%s:%d: %s: %s", path, line, d.Summary, d.Detail)
+	}
+	return nil
+}
+
+// Parse reads and checks the platform's settings; unknown fields are ignored.
+func Parse(b []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := toml.NewDecoder(bytes.NewReader(b)).Decode(s); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, _ := de.Position()
+			return nil, fmt.Errorf("line %d: %v: %s", row, de.Key(), de.Error())
+		}
+		return nil, err
+	}
+	s.Operator.defaults()
+	return s, s.check()
+}
+
+func (s *Settings) check() error {
+	if s.Label == "" {
+		return errors.New("label: missing")
+	}
+	addrs := map[string]string{"serve_on": s.ServeOn, "mesh_addr": s.MeshAddr,
+		"endpoints.cloud": s.Endpoints.Cloud, "endpoints.state": s.Endpoints.State}
+	for _, m := range s.Members {
+		if m.Label == "" || m.Label == s.Label {
+			return errors.New("members.label: missing or this node's own")
+		}
+		addrs["members."+m.Label+".addr"] = m.Addr
+	}
+	names := make([]string, 0, len(addrs))
+	for n := range addrs {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		if _, _, err := net.SplitHostPort(addrs[n]); err != nil {
+			return fmt.Errorf("%s: %q is not host:port", n, addrs[n])
+		}
+	}
+	d := &s.Deployment
+	for _, f := range []struct {
+		name string
+		v    float64
+	}{
+		{"deployment.workers.report_s", d.Workers.ReportS},
+		{"deployment.workers.lease_s", d.Workers.LeaseS},
+		{"deployment.workers.gang_wait_s", d.Workers.GangWaitS},
+		{"deployment.workers.gang_peer_s", d.Workers.GangPeerS},
+		{"deployment.workers.cancel_s", d.Workers.CancelS},
+		{"deployment.state.rps", d.State.RPS},
+		{"deployment.state.write_rps", d.State.WriteRPS},
+		{"deployment.state.value_kb", d.State.ValueKB},
+		{"deployment.state.txn_ops", float64(d.State.TxnOps)},
+		{"deployment.cloud.rps", d.Cloud.RPS},
+		{"deployment.resources.ram_mb", d.Resources.RAMMB},
+		{"deployment.resources.sockets", float64(d.Resources.Sockets)},
+	} {
+		if !(f.v > 0 && f.v < 1e9) {
+			return fmt.Errorf("%s: must be above 0", f.name)
+		}
+	}
+	if d.Cloud.ListLagS < 0 {
+		return errors.New("deployment.cloud.list_lag_s: must not be negative")
+	}
+	for _, t := range d.Teams {
+		if t.Name == "" {
+			return errors.New("deployment.teams.name: missing")
+		}
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if !(v >= 0) {
+				return fmt.Errorf("deployment.teams.%s: amounts must not be negative", t.Name)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,338 @@
+// Package node wires the scheduler's core to the outside. One goroutine owns
+// the core and all decisions; what handlers read sits behind a short lock.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"dalefront/internal/api"
+	"dalefront/internal/cloud"
+	"dalefront/internal/config"
+	"dalefront/internal/peer"
+	"dalefront/internal/state"
+	"dalefront/internal/worker"
+	"dalefront/wire"
+)
+
+// Node is one controller.
+type Node struct {
+	set    *config.Settings
+	log    *slog.Logger
+	state  *state.Client
+	cloud  *cloud.Client
+	worker *worker.Client
+	peers  map[string]*peer.Client
+	start  time.Time
+	wall   int64
+
+	events chan func() // run by the owner
+
+	// Owned by the owner goroutine.
+	reign *reign
+	dirty bool
+
+	mu       sync.Mutex
+	leader   string // who holds the term, as far as known
+	token    uint64 // highest token known
+	gaveUp   uint64 // the last term that this node gave up by itself
+	reigning uint64 // this node's token while it acts, otherwise 0
+	catalog  *wire.Catalog
+	finals   map[string]wire.JobStatus
+	finalQ   []string
+	known    map[string]struct{} // jobs known to be accepted
+	peerOK   map[string]bool     // whether a peer last said that it reaches the state service
+}
+
+// New returns a node; Run starts it.
+func New(set *config.Settings, log *slog.Logger) (*Node, error) {
+	d := &set.Deployment
+	now := time.Now()
+	n := &Node{
+		set: set, log: log,
+		state:  state.New(set.Endpoints.State, d.State.RPS, d.State.WriteRPS),
+		cloud:  cloud.New(set.Endpoints.Cloud, d.Cloud.RPS, 0.7),
+		worker: worker.New(),
+		peers:  map[string]*peer.Client{},
+		start:  now, wall: now.UnixMicro(),
+		events: make(chan func(), 1024),
+		finals: map[string]wire.JobStatus{}, known: map[string]struct{}{}, peerOK: map[string]bool{},
+	}
+	for _, m := range set.Members {
+		c, err := peer.Dial(m.Addr)
+		if err != nil {
+			return nil, err
+		}
+		n.peers[m.Label] = c
+	}
+	return n, nil
+}
+
+// now is the time of day at the start plus steady time since: intervals are
+// steady, and arrivals stored by other nodes can be compared within the bound.
+func (n *Node) now() config.Micros { return n.wall + time.Since(n.start).Microseconds() }
+
+// Run serves until the context ends or a listener fails.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	users, err := net.Listen("tcp", n.set.ServeOn)
+	if err != nil {
+		return err
+	}
+	mesh, err := net.Listen("tcp", n.set.MeshAddr)
+	if err != nil {
+		return err
+	}
+	srv := api.NewServer(api.Handler(n), n.set.Deployment.Resources.Sockets)
+	rpc := peer.NewServer(n)
+	failed := make(chan error, 2)
+	go func() { failed <- srv.Serve(users) }()
+	go func() { failed <- rpc.Serve(mesh) }()
+	go n.own(ctx)
+	go n.learnCatalog(ctx)
+	go n.termLoop(ctx)
+	for label, p := range n.peers {
+		go n.greet(ctx, label, p)
+	}
+	n.log.Info("serving", "node", n.set.Label, "users", n.set.ServeOn, "mesh", n.set.MeshAddr)
+	select {
+	case <-ctx.Done():
+		_ = srv.Close()
+		rpc.Stop()
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// own is the goroutine that owns the core. It schedules once events have
+// settled for a moment, so that a burst of reports leads to one pass.
+func (n *Node) own(ctx context.Context) {
+	tick := time.NewTicker(250 * time.Millisecond)
+	defer tick.Stop()
+	settle := time.NewTimer(time.Hour)
+	defer settle.Stop()
+	armed := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-n.events:
+			f()
+			if n.dirty && !armed {
+				armed = true
+				settle.Reset(20 * time.Millisecond)
+			}
+		case <-settle.C:
+			armed = false
+			n.dirty = false
+			if n.reign != nil {
+				n.reign.pass()
+			}
+		case <-tick.C:
+			if n.reign != nil {
+				n.reign.tick()
+			}
+		}
+	}
+}
+
+// do runs f on the owner goroutine and waits for it. A full queue is refused.
+func (n *Node) do(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	select {
+	case n.events <- func() { f(); close(done) }:
+	default:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// post runs f on the owner goroutine later; results of I/O must not be lost, so
+// it waits for room.
+func (n *Node) post(f func()) { n.events <- f }
+
+func (n *Node) view() (leader string, token, reigning uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leader, n.token, n.reigning
+}
+
+// learn takes what somebody says about the term. A higher token always wins:
+// if this node acted under a lower one, it steps down.
+func (n *Node) learn(leader string, token uint64) {
+	n.mu.Lock()
+	higher := token > n.token
+	if higher {
+		n.token, n.leader = token, leader
+	} else if token == n.token && leader != "" {
+		n.leader = leader
+	}
+	deposed := n.reigning != 0 && token > n.reigning
+	if deposed {
+		n.reigning = 0
+	}
+	n.mu.Unlock()
+	if deposed {
+		n.log.Info("step down", "for", leader, "token", token)
+		n.post(func() {
+			if n.reign != nil && n.reign.token < token {
+				n.reign.end()
+			}
+		})
+	}
+}
+
+func (n *Node) learnCatalog(ctx context.Context) {
+	for wait := 300 * time.Millisecond; ; {
+		cat, err := n.cloud.Catalog(ctx)
+		if err == nil && len(cat.Types) > 0 {
+			n.mu.Lock()
+			n.catalog = &cat
+			n.mu.Unlock()
+			n.post(func() {
+				if n.reign != nil {
+					n.reign.core.SetCatalog(cat)
+				}
+			})
+			wait = 120 * time.Second
+		} else {
+			wait = min(2*wait, 3*time.Second)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (n *Node) types() (wire.Catalog, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.catalog == nil {
+		return wire.Catalog{}, false
+	}
+	return *n.catalog, true
+}
+
+// greet exchanges what is known about the term with a peer.
+func (n *Node) greet(ctx context.Context, label string, p *peer.Client) {
+	for {
+		a, err := p.Hello(ctx, n.hello())
+		n.mu.Lock()
+		n.peerOK[label] = err == nil && a.StateOK
+		n.mu.Unlock()
+		if err == nil && a.Token > 0 {
+			n.learn(a.Leader, a.Token)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+func (n *Node) hello() *peer.Hello {
+	leader, token, _ := n.view()
+	return &peer.Hello{From: n.set.Label, Leader: leader, Token: token, StateOK: n.state.Reachable(3 * time.Second)}
+}
+
+// PeerHello implements peer.Server.
+func (n *Node) PeerHello(_ context.Context, h *peer.Hello) (*peer.Hello, error) {
+	if h.Token > 0 {
+		n.learn(h.Leader, h.Token)
+	}
+	return n.hello(), nil
+}
+
+// PeerRelay implements peer.Server.
+func (n *Node) PeerRelay(ctx context.Context, r *peer.Relay) (*peer.RelayAnswer, error) {
+	a, ok := n.report(ctx, &r.Report)
+	if !ok {
+		return &peer.RelayAnswer{Status: http.StatusMisdirectedRequest}, nil
+	}
+	return &peer.RelayAnswer{Status: http.StatusOK, Answer: a}, nil
+}
+
+// PeerCounts implements peer.Server.
+func (n *Node) PeerCounts(ctx context.Context, c *peer.Counts) (*peer.CountsAnswer, error) {
+	st, ok := n.counts(ctx, c.ID)
+	return &peer.CountsAnswer{Known: ok, Status: st}, nil
+}
+
+// counts reads a job's display counts from the core, if this node has it.
+func (n *Node) counts(ctx context.Context, id string) (st wire.JobStatus, ok bool) {
+	done := n.do(ctx, func() {
+		if n.reign != nil {
+			var s string
+			s, st.Done, st.Running, ok = n.reign.core.Counts(id)
+			st.ID, st.Status = id, s
+		}
+	})
+	return st, ok && done
+}
+
+// report hands a report to the core if this node is entitled to act: it holds
+// the term as far as it knows, and neither the worker nor a peer has shown a
+// higher token. While the state service is out of reach it goes on renewing
+// leases, since it starts nothing without it.
+func (n *Node) report(ctx context.Context, r *wire.Report) (a wire.ReportAnswer, ok bool) {
+	_, token, reigning := n.view()
+	if r.Token > token {
+		n.learn("", r.Token)
+	}
+	if reigning == 0 || r.Token > reigning {
+		return a, false
+	}
+	done := n.do(ctx, func() {
+		if n.reign == nil || ctx.Err() != nil {
+			return
+		}
+		a, ok = n.reign.core.Report(r, n.now()), true
+		n.dirty = true
+	})
+	return a, ok && done
+}
+
+// Report implements api.Service: the overseer answers itself, other nodes relay
+// to it, so that no worker has to find it.
+func (n *Node) Report(ctx context.Context, r *wire.Report) (wire.ReportAnswer, error) {
+	if a, ok := n.report(ctx, r); ok {
+		return a, nil
+	}
+	leader, token, reigning := n.view()
+	if reigning != 0 || leader == "" || leader == n.set.Label || r.Token > token {
+		return wire.ReportAnswer{}, api.ErrNotNow
+	}
+	p := n.peers[leader]
+	if p == nil {
+		return wire.ReportAnswer{}, api.ErrNotNow
+	}
+	a, err := p.Relay(ctx, &peer.Relay{Report: *r})
+	if err != nil {
+		return wire.ReportAnswer{}, api.ErrNotNow
+	}
+	if a.Status != http.StatusOK {
+		return wire.ReportAnswer{}, api.ErrElse
+	}
+	return a.Answer, nil
+}
+
+// Healthy implements api.Service: requests can be taken while the state service
+// is in reach and the machine types are known.
+func (n *Node) Healthy() bool {
+	_, ok := n.types()
+	return ok && n.state.Reachable(3*time.Second)
+}
--- /dev/null
+++ b/internal/node/users.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"dalefront/internal/api"
+	"dalefront/internal/sched"
+	"dalefront/internal/state"
+	"dalefront/wire"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Keys of the state service. A job's record lives under jobKey until the job is
+// over and all its tasks are gone; its end stays for good.
+const (
+	termKey      = "term"
+	queuePrefix  = "q/"
+	jobPrefix    = "q/a/"
+	endPrefix    = "q/e/"
+	donePrefix   = "p/"
+	hostPrefix   = "m/"
+	hirePrefix   = "h/"
+	maxRemember  = 20000
+	maxKnownJobs = 50000
+)
+
+func jobKey(id string) string { return jobPrefix + id }
+func endKey(id string) string { return endPrefix + id }
+func chunkKey(id string, i int) string {
+	return fmt.Sprintf("%s%s/%d", donePrefix, id, i)
+}
+
+// jobRecord is a stored job.
+type jobRecord struct {
+	Job     wire.Job `msgpack:"J"`
+	Arrival int64    `msgpack:"A"` // microseconds, time of day
+}
+
+// endRecord is a job's end: created once, by whoever is first, and never
+// changed.
+type endRecord struct {
+	Status string `msgpack:"S"`
+	At     int64  `msgpack:"A"`
+	Done   int    `msgpack:"D"`
+}
+
+// remember keeps a final answer: it may be given without asking anybody.
+func (n *Node) remember(st wire.JobStatus) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.finals[st.ID]; ok {
+		return
+	}
+	if len(n.finalQ) >= maxRemember {
+		delete(n.finals, n.finalQ[0])
+		n.finalQ = n.finalQ[1:]
+	}
+	n.finals[st.ID] = st
+	n.finalQ = append(n.finalQ, st.ID)
+	delete(n.known, st.ID)
+}
+
+func (n *Node) final(id string) (wire.JobStatus, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	st, ok := n.finals[id]
+	return st, ok
+}
+
+func (n *Node) knows(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, ok := n.known[id]
+	return ok
+}
+
+func (n *Node) setKnown(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.known) >= maxKnownJobs {
+		clear(n.known) // only costs one read more
+	}
+	n.known[id] = struct{}{}
+}
+
+// readEnd reads a job's end afresh. A non-final answer always rests on such a
+// read: another node may have told the user of an end a moment ago.
+func (n *Node) readEnd(ctx context.Context, id string) (wire.JobStatus, bool, error) {
+	if st, ok := n.final(id); ok {
+		return st, true, nil
+	}
+	e, found, err := n.state.Get(ctx, endKey(id))
+	if err != nil || !found {
+		return wire.JobStatus{}, false, err
+	}
+	st, err := n.decodeEnd(id, e.Value)
+	return st, err == nil, err
+}
+
+func (n *Node) decodeEnd(id string, v msgpack.RawMessage) (wire.JobStatus, error) {
+	var r endRecord
+	if err := wire.Unmarshal(v, &r); err != nil {
+		return wire.JobStatus{}, err
+	}
+	st := wire.JobStatus{ID: id, Status: r.Status, Done: r.Done}
+	n.remember(st)
+	return st, nil
+}
+
+// Status implements api.Service.
+func (n *Node) Status(ctx context.Context, id string) (wire.JobStatus, error) {
+	if st, ok := n.final(id); ok {
+		return st, nil
+	}
+	if !n.knows(id) {
+		// First the job, then its end: the job's record is deleted only after
+		// its end was created, so finding neither means that it was never
+		// accepted.
+		_, found, err := n.state.Get(ctx, jobKey(id))
+		if err != nil {
+			return wire.JobStatus{}, api.ErrNotNow
+		}
+		if found {
+			n.setKnown(id)
+		}
+	}
+	st, ended, err := n.readEnd(ctx, id)
+	switch {
+	case err != nil:
+		return wire.JobStatus{}, api.ErrNotNow
+	case ended:
+		return st, nil
+	case !n.knows(id):
+		return wire.JobStatus{}, api.ErrUnknown
+	}
+	return n.display(ctx, id), nil
+}
+
+// display adds the counts that only the overseer has; without it the job is
+// shown as queued.
+func (n *Node) display(ctx context.Context, id string) wire.JobStatus {
+	if st, ok := n.counts(ctx, id); ok {
+		return st
+	}
+	leader, _, reigning := n.view()
+	if p := n.peers[leader]; p != nil && reigning == 0 {
+		if a, err := p.Counts(ctx, id); err == nil && a.Known {
+			return a.Status
+		}
+	}
+	return wire.JobStatus{ID: id, Status: wire.JobQueued}
+}
+
+// Submit implements api.Service: any node accepts a job by creating its key.
+func (n *Node) Submit(ctx context.Context, j *wire.Job) (wire.JobStatus, bool, error) {
+	if st, ok := n.final(j.ID); ok {
+		return st, false, nil
+	}
+	if n.knows(j.ID) {
+		st, err := n.Status(ctx, j.ID)
+		return st, false, err
+	}
+	cat, ok := n.types()
+	if !ok {
+		return wire.JobStatus{}, false, api.ErrNotNow
+	}
+	never := sched.Admit(n.set, cat, j)
+	if never != nil {
+		// A known job stays known, whatever the settings say by now.
+		st, err := n.Status(ctx, j.ID)
+		if errors.Is(err, api.ErrUnknown) {
+			return st, false, fmt.Errorf("%w: %v", api.ErrNever, never)
+		}
+		return st, false, err
+	}
+	_, err := n.state.Multi(ctx, wire.Txn{
+		If:   []wire.Cond{{Key: jobKey(j.ID)}, {Key: endKey(j.ID)}},
+		Then: []wire.Change{{Put: jobKey(j.ID), Value: jobRecord{Job: *j, Arrival: n.now()}}},
+	})
+	switch {
+	case err == nil:
+		n.setKnown(j.ID)
+		return wire.JobStatus{ID: j.ID, Status: wire.JobQueued}, true, nil
+	case errors.Is(err, state.ErrConflict), errors.Is(err, state.ErrUnknown):
+		// Accepted before, or perhaps just now: read it back.
+		st, err := n.Status(ctx, j.ID)
+		if errors.Is(err, api.ErrUnknown) {
+			err = api.ErrNotNow // it may still be applied
+		}
+		return st, false, err
+	}
+	return wire.JobStatus{}, false, api.ErrNotNow
+}
+
+// Cancel implements api.Service. Done and cancelled share one key that is
+// created once, so the first one is final.
+func (n *Node) Cancel(ctx context.Context, id string) (wire.JobStatus, error) {
+	st, err := n.Status(ctx, id)
+	if err != nil || wire.Final(st.Status) {
+		return st, err
+	}
+	st, err = n.createEnd(ctx, id, wire.JobCancelled, st.Done, nil)
+	if err != nil {
+		return st, api.ErrNotNow
+	}
+	return st, nil
+}
+
+// createEnd creates a job's end or returns the one that exists. An error means
+// that it isn't known whether there is an end.
+func (n *Node) createEnd(ctx context.Context, id, status string, done int, conds []wire.Cond) (wire.JobStatus, error) {
+	rec := endRecord{Status: status, At: n.now(), Done: done}
+	_, err := n.state.Multi(ctx, wire.Txn{
+		If:   append(conds, wire.Cond{Key: endKey(id)}),
+		Then: []wire.Change{{Put: endKey(id), Value: rec}},
+	})
+	if err == nil {
+		st := wire.JobStatus{ID: id, Status: status, Done: done}
+		n.remember(st)
+		return st, nil
+	}
+	if errors.Is(err, state.ErrConflict) || errors.Is(err, state.ErrUnknown) {
+		st, ended, rerr := n.readEnd(ctx, id)
+		if rerr == nil && ended {
+			return st, nil
+		}
+	}
+	return wire.JobStatus{}, err
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,133 @@
+// Package peer is what controllers say to one another, over gRPC with
+// MessagePack messages.
+package peer
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding"
+
+	"dalefront/wire"
+)
+
+type codec struct{}
+
+func (codec) Marshal(v any) ([]byte, error)      { return wire.Marshal(v) }
+func (codec) Unmarshal(data []byte, v any) error { return wire.Unmarshal(data, v) }
+func (codec) Name() string                       { return "msgpack" }
+
+func init() { encoding.RegisterCodec(codec{}) }
+
+// Hello tells a peer what this node knows about the term. Peers may believe it
+// only where a late or wrong answer is harmless: a higher token always wins.
+type Hello struct {
+	From    string `msgpack:"f"`
+	Leader  string `msgpack:"l"`
+	Token   uint64 `msgpack:"t"`
+	StateOK bool   `msgpack:"s"`
+}
+
+// Relay carries a worker's report to the overseer.
+type Relay struct {
+	Report wire.Report `msgpack:"r"`
+}
+
+// RelayAnswer is the overseer's answer; Status is that of HTTP.
+type RelayAnswer struct {
+	Status int               `msgpack:"s"`
+	Answer wire.ReportAnswer `msgpack:"a"`
+}
+
+// Counts asks for a job's display counts.
+type Counts struct {
+	ID string `msgpack:"i"`
+}
+
+// CountsAnswer holds them.
+type CountsAnswer struct {
+	Known  bool           `msgpack:"k"`
+	Status wire.JobStatus `msgpack:"s"`
+}
+
+// Server is implemented by the node.
+type Server interface {
+	PeerHello(context.Context, *Hello) (*Hello, error)
+	PeerRelay(context.Context, *Relay) (*RelayAnswer, error)
+	PeerCounts(context.Context, *Counts) (*CountsAnswer, error)
+}
+
+const service = "dalefront.Peer"
+
+func method[In, Out any](name string, call func(Server, context.Context, *In) (*Out, error)) grpc.MethodDesc {
+	return grpc.MethodDesc{MethodName: name, Handler: func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		in := new(In)
+		if err := dec(in); err != nil {
+			return nil, err
+		}
+		return call(srv.(Server), ctx, in)
+	}}
+}
+
+var desc = grpc.ServiceDesc{
+	ServiceName: service,
+	HandlerType: (*Server)(nil),
+	Methods: []grpc.MethodDesc{
+		method("Hello", Server.PeerHello),
+		method("Relay", Server.PeerRelay),
+		method("Counts", Server.PeerCounts),
+	},
+}
+
+// NewServer returns a gRPC server that serves s.
+func NewServer(s Server) *grpc.Server {
+	g := grpc.NewServer(grpc.MaxConcurrentStreams(256), grpc.MaxRecvMsgSize(1<<20),
+		grpc.ReadBufferSize(8<<10), grpc.WriteBufferSize(8<<10))
+	g.RegisterService(&desc, s)
+	return g
+}
+
+// Client talks to one peer.
+type Client struct{ conn *grpc.ClientConn }
+
+// Dial returns a client; it connects when first used.
+func Dial(addr string) (*Client, error) {
+	conn, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.CallContentSubtype("msgpack")),
+		grpc.WithReadBufferSize(8<<10), grpc.WithWriteBufferSize(8<<10),
+		grpc.WithIdleTimeout(0), grpc.WithDisableServiceConfig(),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 200 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: time.Second},
+			MinConnectTimeout: time.Second,
+		}))
+	if err != nil {
+		return nil, err
+	}
+	return &Client{conn}, nil
+}
+
+func call[Out any](c *Client, limit time.Duration, ctx context.Context, name string, in any) (*Out, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	out := new(Out)
+	return out, c.conn.Invoke(ctx, "/"+service+"/"+name, in, out)
+}
+
+// Hello exchanges what is known about the term.
+func (c *Client) Hello(ctx context.Context, h *Hello) (*Hello, error) {
+	return call[Hello](c, 800*time.Millisecond, ctx, "Hello", h)
+}
+
+// Relay hands a report to the overseer.
+func (c *Client) Relay(ctx context.Context, r *Relay) (*RelayAnswer, error) {
+	return call[RelayAnswer](c, 1500*time.Millisecond, ctx, "Relay", r)
+}
+
+// Counts asks for display counts.
+func (c *Client) Counts(ctx context.Context, id string) (*CountsAnswer, error) {
+	return call[CountsAnswer](c, 400*time.Millisecond, ctx, "Counts", &Counts{ID: id})
+}
--- /dev/null
+++ b/internal/sched/admit.go
@@ -0,0 +1,263 @@
+package sched
+
+import (
+	"fmt"
+
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
+
+// fitsType says whether a task of the job may ever run on an empty machine of
+// the type.
+func fitsType(j *wire.Job, t *wire.MachineType) bool {
+	if j.Types != nil {
+		ok := false
+		for _, n := range j.Types {
+			ok = ok || n == t.Name
+		}
+		if !ok {
+			return false
+		}
+	}
+	if j.Zone != nil {
+		ok := false
+		for _, z := range t.Zones {
+			ok = ok || z == *j.Zone
+		}
+		if !ok {
+			return false
+		}
+	}
+	return j.CPUs <= t.CPUs+eps && j.GPUs <= t.GPUs+eps && j.MemoryGB <= t.MemoryGB+eps
+}
+
+// Admit says why a well-formed job can never run, or returns nil.
+func Admit(set *config.Settings, cat wire.Catalog, j *wire.Job) error {
+	var tm *config.Team
+	for i := range set.Deployment.Teams {
+		if set.Deployment.Teams[i].Name == j.Team {
+			tm = &set.Deployment.Teams[i]
+		}
+	}
+	if tm == nil {
+		return fmt.Errorf("unknown team %q", j.Team)
+	}
+	fits := false
+	for i := range cat.Types {
+		fits = fits || fitsType(j, &cat.Types[i])
+	}
+	if !fits {
+		return fmt.Errorf("a task fits no allowed machine type")
+	}
+	n := 1.0
+	if j.Shape != wire.Array {
+		n = float64(j.Tasks)
+	}
+	t := team{Team: *tm}
+	if !t.allows(n*j.CPUs, n*j.GPUs) {
+		return fmt.Errorf("more than the limit of team %q", j.Team)
+	}
+	return nil
+}
+
+// AddJob takes an accepted job. arrival is when its user submitted it.
+func (c *Core) AddJob(spec wire.Job, arrival, now Micros) {
+	c.now = now
+	if c.jobs[spec.ID] != nil {
+		return
+	}
+	tm := c.teams[spec.Team]
+	if tm == nil { // accepted under other settings; it has no guarantee
+		tm = &team{Team: config.Team{Name: spec.Team}}
+		c.teams[spec.Team] = tm
+	}
+	cl := c.classOf(spec.Class)
+	words := (spec.Tasks + 63) / 64
+	j := &job{
+		id: spec.ID, spec: spec, rank: Rank(spec.Priority), arrival: min(arrival, now), team: tm, class: cl,
+		done: make([]uint64, words), storedDone: make([]uint64, words), dirty: map[int]bool{},
+		placements: map[*placement]struct{}{}, count: map[int32]int{}, waitSince: now,
+	}
+	j.due = j.arrival + 600*second
+	if cl.finish > 0 {
+		j.due = j.arrival + cl.finish
+	}
+	if spec.DeadlineS != nil {
+		j.due = j.arrival + config.Micro(*spec.DeadlineS)
+	}
+	c.jobs[spec.ID] = j
+	cl.sample = j
+	if now-j.arrival < rateMemory {
+		cl.arrive(now, float64(spec.Tasks))
+	}
+}
+
+// SetProgress takes a stored chunk of a job's completed tasks.
+func (c *Core) SetProgress(id string, chunk int, text string) {
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	j.setChunk(chunk, text)
+	j.doneCount = 0
+	for t := int32(0); t < int32(j.spec.Tasks); t++ {
+		if j.isDone(t) {
+			j.doneCount++
+		}
+	}
+	copy(j.storedDone, j.done)
+	c.checkComplete(j)
+}
+
+func (c *Core) checkComplete(j *job) {
+	if j.spec.Shape != wire.Service && j.doneCount == j.spec.Tasks && !j.over() {
+		j.finishing = true
+		c.ends = append(c.ends, j.id)
+	}
+}
+
+func (c *Core) markDone(j *job, t int32) {
+	if j.spec.Shape == wire.Service || int(t) >= j.spec.Tasks {
+		return
+	}
+	first, last := t, t
+	if j.gang() { // the tasks of a gang complete together
+		first, last = 0, int32(j.spec.Tasks)-1
+	}
+	for k := first; k <= last; k++ {
+		if !j.isDone(k) {
+			j.done[k>>6] |= 1 << (k & 63)
+			j.doneCount++
+			j.dirty[int(k)/ChunkTasks] = true
+		}
+	}
+	c.checkComplete(j)
+}
+
+// Ends returns the jobs whose last task has completed since the last call; the
+// caller stores their end and calls Ended with whatever end is stored.
+func (c *Core) Ends() []string {
+	e := c.ends
+	c.ends = nil
+	return e
+}
+
+// RetryEnd asks for the end of a job again, after its storing failed.
+func (c *Core) RetryEnd(id string) {
+	if j := c.jobs[id]; j != nil && j.finishing && j.ended == "" {
+		c.ends = append(c.ends, id)
+	}
+}
+
+// Ended takes a stored end: done or cancelled, final from then on.
+func (c *Core) Ended(id, status string, at, now Micros) {
+	c.now = now
+	j := c.jobs[id]
+	if j == nil || j.ended != "" {
+		return
+	}
+	j.ended, j.endedAt = status, min(at, now)
+	j.dirty = map[int]bool{}
+	for p := range j.placements {
+		c.stop(p, false)
+	}
+	c.tryForget(j)
+}
+
+// stop marks a placement to be stopped and sends the stop at once. A launch
+// that was never stored or sent simply isn't sent any more.
+func (c *Core) stop(p *placement, checkpoint bool) {
+	if p.stop && (checkpoint || !p.checkpoint) {
+		return
+	}
+	p.stop, p.checkpoint = true, checkpoint
+	p.stopSent = c.now
+	if p.seen && p.m.confirmed && p.m.addr != "" {
+		c.direct = append(c.direct, Direct{p.m.addr, wire.DirectOrders{Token: c.token, Session: p.m.session, Orders: []wire.Order{p.order()}}})
+	}
+}
+
+// Directs returns the commands to be sent straight to workers.
+func (c *Core) Directs() []Direct {
+	d := c.direct
+	c.direct = nil
+	return d
+}
+
+// tryForget drops an ended job once nothing of it can be on any machine. Its
+// records may then be deleted: its end stays.
+func (c *Core) tryForget(j *job) {
+	if j.ended != "" && len(j.placements) == 0 && c.jobs[j.id] == j {
+		delete(c.jobs, j.id)
+		c.forget = append(c.forget, j.id)
+		if j.class.sample == j {
+			// keep the shape, not the task state
+			j.class.sample = &job{id: j.id, spec: j.spec, rank: j.rank, team: j.team, class: j.class}
+		}
+	}
+}
+
+// Forgotten returns the jobs whose working records may be deleted.
+func (c *Core) Forgotten() []string {
+	f := c.forget
+	c.forget = nil
+	return f
+}
+
+// Chunk is a piece of progress to be stored.
+type Chunk struct {
+	Job   string
+	Index int
+	Text  string
+}
+
+// Progress returns up to limit chunks that are not stored yet.
+func (c *Core) Progress(limit int) []Chunk {
+	var out []Chunk
+	for _, j := range c.jobs {
+		if j.over() {
+			continue
+		}
+		for i := range j.dirty {
+			if len(out) == limit {
+				return out
+			}
+			out = append(out, Chunk{j.id, i, j.chunk(i)})
+		}
+	}
+	return out
+}
+
+// ProgressStored says that a chunk is durable, so its tasks may be cleared.
+func (c *Core) ProgressStored(ch Chunk) {
+	j := c.jobs[ch.Job]
+	if j == nil {
+		return
+	}
+	if j.chunk(ch.Index) == ch.Text {
+		delete(j.dirty, ch.Index)
+	}
+	stored := &job{done: make([]uint64, len(j.done))}
+	stored.setChunk(ch.Index, ch.Text)
+	for i, w := range stored.done {
+		j.storedDone[i] |= w
+	}
+}
+
+// Counts returns a job's display counts and whether the core knows the job.
+func (c *Core) Counts(id string) (status string, done, running int, ok bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", 0, 0, false
+	}
+	for p := range j.placements {
+		if p.state == wire.TaskRunning || p.state == wire.TaskSaving {
+			running++
+		}
+	}
+	status = wire.JobQueued
+	if running > 0 {
+		status = wire.JobRunning
+	}
+	return status, j.doneCount, running, true
+}
--- /dev/null
+++ b/internal/sched/fleet.go
@@ -0,0 +1,433 @@
+package sched
+
+import (
+	"math"
+	"sort"
+
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
+
+// Machines takes the cloud's list, which lags and may be older than the last.
+func (c *Core) Machines(list []wire.Machine, now Micros) {
+	c.now = now
+	for _, l := range list {
+		m := c.machines[l.ID]
+		if m == nil {
+			m = c.newMachine(l.ID, l.Addr, l.Type, l.Zone, l.Spot)
+		}
+		if m.addr == "" {
+			m.addr = l.Addr
+		}
+		if m.listed == 0 {
+			m.born = min(m.born, now-config.Micro(l.AgeS))
+		}
+		m.listed = now
+		m.failed = m.failed || l.State == wire.HostFailed
+	}
+	c.listedAt = now
+}
+
+// Hired takes the answer to a rental request.
+func (c *Core) Hired(h wire.Hire, hosts []string, now Micros) {
+	c.now = now
+	c.hiring[h.Type] = max(0, c.hiring[h.Type]-h.Count)
+	c.Stats.Hired += len(hosts)
+	for _, host := range hosts {
+		if c.machines[host] == nil {
+			c.newMachine(host, "", h.Type, h.Zone, h.Spot)
+		}
+	}
+	if len(hosts) < h.Count {
+		c.refuse(h)
+	}
+}
+
+func spotKey(typ, zone string, spot bool) string {
+	if spot {
+		return typ + "|" + zone + "|spot"
+	}
+	return typ + "|" + zone
+}
+
+func (c *Core) refuse(h wire.Hire) {
+	c.refused[spotKey(h.Type, h.Zone, h.Spot)] = c.now + 15*second
+}
+
+// HireFailed takes a refusal (no capacity) or a failure.
+func (c *Core) HireFailed(h wire.Hire, noCapacity bool, now Micros) {
+	c.now = now
+	c.hiring[h.Type] = max(0, c.hiring[h.Type]-h.Count)
+	if noCapacity {
+		c.refuse(h)
+	}
+}
+
+// Gone says that machines, and everything on them, are gone: the cloud has
+// confirmed their return.
+func (c *Core) Gone(hosts []string, now Micros) {
+	c.now = now
+	for _, h := range hosts {
+		m := c.machines[h]
+		if m == nil {
+			continue
+		}
+		m.each(func(p *placement) {
+			if p.stored {
+				c.free(p)
+			}
+		})
+		c.Stats.Returned++
+		if m.recorded {
+			c.dropHost = append(c.dropHost, h)
+		}
+		if m.n == 0 {
+			delete(c.machines, h)
+		} else {
+			m.lost = true // a commit for it is outstanding; it frees its tasks
+			m.returning = false
+			m.failed = true
+		}
+	}
+}
+
+// ReturnFailed says that a return was not confirmed; it will be asked again.
+func (c *Core) ReturnFailed(hosts []string, now Micros) {
+	c.now = now
+	for _, h := range hosts {
+		if m := c.machines[h]; m != nil {
+			m.returning = false
+		}
+	}
+}
+
+// DroppedHosts returns the machines whose records may be deleted.
+func (c *Core) DroppedHosts() []string {
+	d := c.dropHost
+	c.dropHost = nil
+	return d
+}
+
+// Blind says that most workers fell silent at once: then the fault is likelier
+// on this side, and another controller should take over.
+func (c *Core) Blind(now Micros) bool {
+	c.now = now
+	up, silent := 0, 0
+	limit := max(5*second, c.lease/2)
+	for _, m := range c.machines {
+		if m.up && (m.confirmed || m.lost) && !m.returning && !m.failed && now-m.lastHello < 4*c.lease {
+			up++
+			if now-m.lastHello > limit {
+				silent++
+			}
+		}
+	}
+	return silent >= 3 && silent*10 >= up*6
+}
+
+// Returns lists machines to give back now.
+func (c *Core) Returns(now Micros, blind bool) []string {
+	c.now = now
+	var out []string
+	back := func(m *machine, why string) {
+		if len(out) < 100 && !m.returning {
+			m.returning = true
+			c.log("return machine", "host", m.host, "type", m.kind.Name, "why", why, "tasks", m.n)
+			out = append(out, m.host)
+		}
+	}
+	lag := config.Micro(c.set.Deployment.Cloud.ListLagS)
+	idleAfter := config.Micro(*c.set.Operator.IdleReturnS)
+	cancel := config.Micro(c.set.Deployment.Workers.CancelS)
+	hosts := c.sortedMachines()
+	for _, m := range hosts {
+		if m.returning {
+			continue
+		}
+		quiet := now - max(m.lastHello, c.since)
+		boot := config.Micro(m.kind.BootS)
+		cancelled := false
+		m.each(func(p *placement) {
+			if p.job.ended == wire.JobCancelled && now-p.job.endedAt > cancel/2 {
+				cancelled = true
+			}
+		})
+		switch {
+		case cancelled && quiet > 5*second:
+			// A cancelled task must be gone in time, and here nothing else proves it.
+			back(m, "cancelled task out of reach")
+		case m.failed:
+			back(m, "failed")
+		case blind:
+		case m.lost:
+			back(m, "lease ran out")
+		case m.up && m.listed > 0 && c.listedAt-m.listed > 0 && now-m.born > 4*lag+10*second && quiet > 4*second:
+			// Listed before and no longer: taken or dead; the return proves it.
+			back(m, "no longer listed")
+		case m.up && !m.confirmed && quiet > c.lease+6*second:
+			// Never confirmed this term: time proves nothing about its lease.
+			back(m, "silent since the term began")
+		case !m.up && now-m.born > 3*boot+40*second && quiet > c.lease:
+			back(m, "never came up")
+		case m.bad && m.n == 0:
+			back(m, "tasks fail on it")
+		case m.up && m.n == 0 && m.recallAt > 0 && m.confirmed:
+			back(m, "empty and about to be taken")
+		}
+	}
+	if blind || now-c.since < 20*second {
+		return out
+	}
+	// Idle machines, dearest first, unless they are a spare that the aims need.
+	need := c.spares(now)
+	sort.SliceStable(hosts, func(a, b int) bool { return c.price(hosts[a]) > c.price(hosts[b]) })
+	for _, m := range hosts {
+		if m.returning || !m.confirmed || m.n > 0 || m.reserved != nil || now-m.idleSince < idleAfter {
+			continue
+		}
+		if c.wanted(m, need) {
+			continue
+		}
+		back(m, "idle")
+	}
+	return out
+}
+
+func (c *Core) sortedMachines() []*machine {
+	ms := make([]*machine, 0, len(c.machines))
+	for _, m := range c.machines {
+		ms = append(ms, m)
+	}
+	sort.Slice(ms, func(a, b int) bool { return ms[a].host < ms[b].host })
+	return ms
+}
+
+func (c *Core) price(m *machine) float64 { return rate(m.kind, m.spot) }
+
+func rate(t *wire.MachineType, spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
+// demand is room wanted for tasks of one shape.
+type demand struct {
+	job   *job
+	slots int
+}
+
+// spares is the room to be kept free for tasks that arrive while a machine
+// would boot, for classes whose start the aims watch.
+func (c *Core) spares(now Micros) []demand {
+	guarantee := false
+	for _, o := range c.set.Deployment.Objectives {
+		guarantee = guarantee || o.Kind == "guarantee"
+	}
+	var out []demand
+	for _, cl := range c.classes {
+		if cl.sample == nil || cl.sample.spec.Shape == wire.Service {
+			continue
+		}
+		if cl.wait == 0 && !(guarantee && (cl.sample.team.CPUs > 0 || cl.sample.team.GPUs > 0)) {
+			continue
+		}
+		boot := 0.0
+		for _, t := range c.types {
+			if fitsType(&cl.sample.spec, t) && (boot == 0 || t.BootS < boot) {
+				boot = t.BootS
+			}
+		}
+		// Poisson arrivals during a boot, less what finishes meanwhile is left
+		// to chance: the mean plus one deviation.
+		n := cl.perSecond(now) * (boot + 10)
+		slots := int(math.Ceil((n + math.Sqrt(n)) * *c.set.Operator.SpareFactor * 0.5))
+		if slots > 0 {
+			out = append(out, demand{cl.sample, slots})
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].job.class.name < out[b].job.class.name })
+	return out
+}
+
+// slots is how many tasks of the job the machine could still take.
+func slots(j *job, t *wire.MachineType, cpus, gpus, mem float64) int {
+	n := math.Inf(1)
+	for _, x := range [][2]float64{{j.spec.CPUs, t.CPUs - cpus}, {j.spec.GPUs, t.GPUs - gpus}, {j.spec.MemoryGB, t.MemoryGB - mem}} {
+		if x[0] > 0 {
+			n = min(n, math.Floor((x[1]+eps)/x[0]))
+		}
+	}
+	return max(0, int(min(n, 1000)))
+}
+
+// wanted says whether an idle machine is part of the spare room, and takes it
+// off the need if so.
+func (c *Core) wanted(m *machine, need []demand) bool {
+	keep := false
+	for i := range need {
+		d := &need[i]
+		if d.slots <= 0 || !allowed(d.job, m) {
+			continue
+		}
+		if n := slots(d.job, m.kind, 0, 0, 0); n > 0 {
+			d.slots -= n
+			keep = true
+		}
+	}
+	return keep
+}
+
+// Hires returns the rental requests that the waiting tasks and the spare room
+// call for; at most a few at a time.
+func (c *Core) Hires(now Micros) []wire.Hire {
+	c.now = now
+	if now-c.since < 3*second {
+		return nil // first learn which machines there are
+	}
+	type bin struct {
+		kind           *wire.MachineType
+		zone           string
+		spot           bool
+		cpus, gpus, me float64
+		fresh          bool
+	}
+	total := 0
+	var bins []*bin
+	for _, m := range c.sortedMachines() {
+		if m.failed || m.returning || m.lost {
+			continue
+		}
+		total++
+		if m.recallAt > 0 || m.bad {
+			continue
+		}
+		overdue := !m.up && now-m.born > config.Micro(2*m.kind.BootS)+10*second
+		if overdue {
+			continue // don't count on it
+		}
+		bins = append(bins, &bin{kind: m.kind, zone: m.zone, spot: m.spot, cpus: m.cpus, gpus: m.gpus, me: m.mem})
+	}
+	for _, n := range c.hiring {
+		if n > 0 {
+			return nil // one round of requests at a time
+		}
+	}
+	var need []demand
+	for _, j := range c.queue() {
+		n := j.pending()
+		if !j.gang() {
+			// Tasks shorter than a boot can run one after another.
+			est := float64(j.estimate()) / float64(second)
+			if est > 0 {
+				n = int(math.Ceil(float64(n) * min(1, (est+5)/(est+15))))
+			}
+			for lim := n; lim > 0 && !j.team.allows(float64(lim)*j.spec.CPUs, float64(lim)*j.spec.GPUs); lim-- {
+				n = lim - 1
+			}
+		}
+		need = append(need, demand{j, min(n, 2000)})
+	}
+	need = append(need, c.spares(now)...)
+	count := map[string]*wire.Hire{}
+	var order []string
+	for _, d := range need {
+		left := d.slots
+		j := d.job
+		fill := func(b *bin) {
+			if left == 0 || (b.spot && !j.spec.Spot) || !fitsType(&j.spec, b.kind) || (j.spec.Zone != nil && *j.spec.Zone != b.zone) {
+				return
+			}
+			if b.kind.GPUs > 0 && j.spec.GPUs == 0 && b.fresh {
+				return
+			}
+			k := min(left, slots(j, b.kind, b.cpus, b.gpus, b.me))
+			left -= k
+			b.cpus += float64(k) * j.spec.CPUs
+			b.gpus += float64(k) * j.spec.GPUs
+			b.me += float64(k) * j.spec.MemoryGB
+		}
+		for _, b := range bins {
+			fill(b)
+		}
+		for left > 0 && total < *c.set.Operator.MaxMachines && len(bins) < 4000 {
+			t, zone, spot, ok := c.choose(j, left)
+			if !ok {
+				break
+			}
+			b := &bin{kind: t, zone: zone, spot: spot, fresh: true}
+			bins = append(bins, b)
+			total++
+			before := left
+			b.fresh = false
+			fill(b)
+			b.fresh = true
+			if left == before {
+				break
+			}
+			k := spotKey(t.Name, zone, spot)
+			if count[k] == nil {
+				count[k] = &wire.Hire{Type: t.Name, Zone: zone, Spot: spot}
+				order = append(order, k)
+			}
+			count[k].Count++
+			if count[k].Count >= 12 {
+				break
+			}
+		}
+	}
+	var out []wire.Hire
+	for _, k := range order {
+		if len(out) == 4 {
+			break
+		}
+		h := *count[k]
+		h.Count = min(h.Count, 50)
+		c.hiring[h.Type] += h.Count
+		out = append(out, h)
+	}
+	return out
+}
+
+// choose picks the type, zone and kind with the least price for a task of the
+// job among those not lately refused, spread over zones.
+func (c *Core) choose(j *job, left int) (*wire.MachineType, string, bool, bool) {
+	inZone := map[string]int{}
+	for _, m := range c.machines {
+		inZone[m.zone]++
+	}
+	var best *wire.MachineType
+	var zone string
+	var spot bool
+	bestPrice := math.Inf(1)
+	names := make([]string, 0, len(c.types))
+	for n := range c.types {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		t := c.types[n]
+		if !fitsType(&j.spec, t) {
+			continue
+		}
+		k := min(left, slots(j, t, 0, 0, 0))
+		if k == 0 {
+			continue
+		}
+		for _, z := range t.Zones {
+			if j.spec.Zone != nil && *j.spec.Zone != z {
+				continue
+			}
+			for _, s := range []bool{true, false} {
+				if (s && !j.spec.Spot) || c.now < c.refused[spotKey(n, z, s)] || rate(t, s) <= 0 {
+					continue
+				}
+				price := rate(t, s) / float64(k) * (1 + 0.01*float64(inZone[z]))
+				if price < bestPrice {
+					best, zone, spot, bestPrice = t, z, s, price
+				}
+			}
+		}
+	}
+	return best, zone, spot, best != nil
+}
--- /dev/null
+++ b/internal/sched/model.go
@@ -0,0 +1,377 @@
+// Package sched is the scheduler's core. It is pure: events and the time go
+// in, effects come out; it does no I/O and reads no clock. One goroutine, the
+// overseer's owner, drives it.
+package sched
+
+import (
+	"encoding/base64"
+	"math"
+
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
+
+// Micros is time in whole microseconds.
+type Micros = config.Micros
+
+const second = config.Second
+
+// Rank orders priorities; a higher rank may evict a lower one.
+func Rank(priority string) int {
+	switch priority {
+	case wire.Production:
+		return 3
+	case wire.High:
+		return 2
+	case wire.Normal:
+		return 1
+	}
+	return 0
+}
+
+type taskKey struct {
+	job  *job
+	task int32
+}
+
+// placement is a task that may be on a machine. It counts against quota, room
+// and place rules from before its launch is stored until proof that it is gone.
+type placement struct {
+	taskKey
+	attempt uint64
+	m       *machine
+	cpus    float64
+
+	stored  bool // the write-ahead record is durable
+	seen    bool // a report showed it
+	state   string
+	placed  Micros
+	running Micros // when it was first seen running, 0 before
+
+	stop       bool   // to be stopped
+	checkpoint bool   // stop with enough grace to save
+	stopSent   Micros // when the stop was first given
+	evictee    bool   // stopped to make room
+}
+
+func (p *placement) order() wire.Order {
+	grace := 0.0
+	if p.checkpoint {
+		grace = p.job.spec.SaveS + 1
+	}
+	return wire.Order{Op: wire.Stop, Task: wire.TaskName(p.job.id, p.task), Attempt: p.attempt, GraceS: &grace}
+}
+
+type job struct {
+	id      string
+	spec    wire.Job
+	rank    int
+	arrival Micros
+	due     Micros
+	team    *team
+	class   *class
+
+	done       []uint64
+	doneCount  int
+	dirty      map[int]bool // progress chunks not yet stored
+	storedDone []uint64     // what is stored, so what may be cleared
+	placements map[*placement]struct{}
+	count      map[int32]int // placements per task
+	retry      []int32
+	cursor     int32
+
+	notBefore  Micros
+	errors     int
+	errorHosts map[string]bool
+	waitSince  Micros // since when something waits, 0 if nothing does
+	evictions  int
+	savedRun   Micros // progress saved by stops, per task at most
+
+	// gang
+	attempt uint64
+	started bool // a task of the attempt was seen running
+	broken  bool // the attempt can't complete any more
+
+	finishing bool   // all tasks done, end not stored yet
+	ended     string // final state, stored
+	endedAt   Micros
+}
+
+func (j *job) has(set []uint64, t int32) bool { return set[t>>6]&(1<<(t&63)) != 0 }
+func (j *job) isDone(t int32) bool            { return j.has(j.done, t) }
+func (j *job) gang() bool                     { return j.spec.Shape == wire.Gang }
+func (j *job) over() bool                     { return j.ended != "" || j.finishing }
+
+// ChunkTasks is the number of tasks whose completion one stored value covers;
+// with it the largest job's progress stays far below any value limit.
+const ChunkTasks = 4096
+
+func (j *job) chunk(i int) string {
+	lo, hi := i*ChunkTasks/64, min((i+1)*ChunkTasks/64, len(j.done))
+	b := make([]byte, 0, (hi-lo)*8)
+	for _, w := range j.done[lo:hi] {
+		for k := 0; k < 8; k++ {
+			b = append(b, byte(w>>(8*k)))
+		}
+	}
+	return base64.StdEncoding.EncodeToString(b)
+}
+
+func (j *job) setChunk(i int, text string) {
+	b, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return
+	}
+	for k, x := range b {
+		w := i*ChunkTasks/64 + k/8
+		if w < len(j.done) {
+			j.done[w] |= uint64(x) << (8 * (k % 8))
+		}
+	}
+}
+
+// pending is the number of tasks that are neither done nor possibly placed.
+func (j *job) pending() int {
+	if j.over() {
+		return 0
+	}
+	return j.spec.Tasks - j.doneCount - len(j.count)
+}
+
+// next returns a task to place without taking it.
+func (j *job) next() (int32, bool) {
+	for len(j.retry) > 0 {
+		t := j.retry[len(j.retry)-1]
+		if !j.isDone(t) && j.count[t] == 0 {
+			return t, true
+		}
+		j.retry = j.retry[:len(j.retry)-1]
+	}
+	for int(j.cursor) < j.spec.Tasks {
+		if !j.isDone(j.cursor) && j.count[j.cursor] == 0 {
+			return j.cursor, true
+		}
+		j.cursor++
+	}
+	return 0, false
+}
+
+// estimate is the expected run time of a task, corrected by what the class's
+// tasks took compared with their owners' estimates.
+func (j *job) estimate() Micros {
+	return Micros(j.spec.EstimateS * j.class.ratio * float64(second))
+}
+
+type team struct {
+	config.Team
+	cpus, gpus float64
+}
+
+const eps = 1e-6
+
+// allows says whether the team's limit leaves room; 0 means no limit.
+func (t *team) allows(cpus, gpus float64) bool {
+	return (t.CPUsMax == 0 || t.cpus+cpus <= t.CPUsMax+eps) && (t.GPUsMax == 0 || t.gpus+gpus <= t.GPUsMax+eps)
+}
+
+// guarantees says whether the team has a guarantee that this use stays within.
+func (t *team) guarantees(cpus, gpus float64) bool {
+	if t.CPUs == 0 && t.GPUs == 0 {
+		return false
+	}
+	return (t.CPUs == 0 || t.cpus+cpus <= t.CPUs+eps) && (t.GPUs == 0 || t.gpus+gpus <= t.GPUs+eps)
+}
+
+// beyond says whether the team uses more than its guarantee.
+func (t *team) beyond() bool {
+	return (t.CPUs > 0 && t.cpus > t.CPUs+eps) || (t.GPUs > 0 && t.gpus > t.GPUs+eps) || (t.CPUs == 0 && t.GPUs == 0)
+}
+
+// class is what the core learns about a class of jobs.
+type class struct {
+	name     string
+	ratio    float64 // actual run time over estimate
+	arrivals float64 // decayed count of tasks that arrived
+	at       Micros
+	sample   *job // a recent job, for its shape
+	wait     Micros
+	finish   Micros
+}
+
+// memory of the arrival rate.
+const rateMemory = 120 * second
+
+func (c *class) arrive(now Micros, tasks float64) {
+	c.decay(now)
+	c.arrivals += tasks
+}
+
+func (c *class) decay(now Micros) {
+	if now > c.at {
+		c.arrivals *= math.Exp(-float64(now-c.at) / float64(rateMemory))
+		c.at = now
+	}
+}
+
+// perSecond is the rate at which tasks arrive.
+func (c *class) perSecond(now Micros) float64 {
+	c.decay(now)
+	return c.arrivals / (float64(rateMemory) / float64(second))
+}
+
+type machine struct {
+	host, addr string
+	kind       *wire.MachineType
+	zone       string
+	spot       bool
+
+	born      Micros // when it was rented, as far as known
+	listed    Micros // when a list last showed it
+	up        bool   // a report came, ever
+	confirmed bool   // a report carried this overseer's token in this session
+	session   uint64
+	seq       uint64
+	lastHello Micros // when the newest report came
+	recallAt  Micros // when the cloud takes it, 0 if unknown
+	returning bool
+	lost      bool // silent beyond its lease
+	failed    bool
+	bad       bool
+	errJobs   map[string]bool
+	avoid     Micros // place nothing before
+
+	tasks          map[taskKey][]*placement
+	n              int
+	cpus, gpus     float64
+	mem            float64
+	version        uint64 // of the stored record
+	recorded       bool
+	images         map[string]Micros // images believed present, by last use
+	idleSince      Micros
+	reserved       *job
+	reservedTill   Micros
+	checkpoints    int
+	fetchingImages map[string]Micros
+}
+
+func (m *machine) each(f func(*placement)) {
+	for _, ps := range m.tasks {
+		for _, p := range ps {
+			f(p)
+		}
+	}
+}
+
+func (m *machine) find(k taskKey, attempt uint64) *placement {
+	for _, p := range m.tasks[k] {
+		if p.attempt == attempt {
+			return p
+		}
+	}
+	return nil
+}
+
+// Core is the scheduler's state.
+type Core struct {
+	set      *config.Settings
+	now      Micros
+	token    uint64
+	seq      uint64
+	since    Micros // start of this term
+	types    map[string]*wire.MachineType
+	jobs     map[string]*job
+	machines map[string]*machine
+	teams    map[string]*team
+	classes  map[string]*class
+
+	lease      Micros
+	evictAfter Micros
+	maxPer     int // placements per machine record
+
+	ends     []string
+	forget   []string
+	dropHost []string
+	direct   []Direct
+	commit   *Commit
+	refused  map[string]Micros // type/zone/spot without capacity, until
+	backoff  map[string]Micros
+	hiring   map[string]int // machines asked for, by type
+	bwWrite  float64        // GB/s
+	bwRead   float64
+	log      func(msg string, args ...any)
+	listedAt Micros
+
+	Stats Stats
+}
+
+// Stats counts what the core did.
+type Stats struct {
+	Launches, Evictions, Checkpoints, Kills, LeasesLost, Errors, Hired, Returned int
+}
+
+// Direct is a command to be sent straight to a worker.
+type Direct struct {
+	Addr   string
+	Orders wire.DirectOrders
+}
+
+// New returns the core of a term. The token rises with every term.
+func New(set *config.Settings, token uint64, now Micros, cat wire.Catalog, log func(string, ...any)) *Core {
+	c := &Core{
+		set: set, now: now, since: now, token: token,
+		types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
+		teams: map[string]*team{}, classes: map[string]*class{},
+		refused: map[string]Micros{}, backoff: map[string]Micros{}, hiring: map[string]int{},
+		lease:      config.Micro(set.Deployment.Workers.LeaseS),
+		evictAfter: config.Micro(*set.Operator.EvictAfterS),
+		maxPer:     max(1, int(set.Deployment.State.ValueKB*1024/64)-8),
+		bwWrite:    *set.Operator.CheckpointMBS / 1000,
+		bwRead:     *set.Operator.CheckpointMBS / 1000,
+		log:        log,
+	}
+	for _, t := range set.Deployment.Teams {
+		c.teams[t.Name] = &team{Team: t}
+	}
+	c.SetCatalog(cat)
+	return c
+}
+
+// SetCatalog takes new prices and types.
+func (c *Core) SetCatalog(cat wire.Catalog) {
+	for i := range cat.Types {
+		t := cat.Types[i]
+		if old := c.types[t.Name]; old != nil {
+			*old = t
+		} else {
+			c.types[t.Name] = &t
+		}
+	}
+}
+
+// Token is the term's token.
+func (c *Core) Token() uint64 { return c.token }
+
+func (c *Core) classOf(name string) *class {
+	cl := c.classes[name]
+	if cl == nil {
+		cl = &class{name: name, ratio: 1, at: c.now}
+		for _, o := range c.set.Deployment.Objectives {
+			if o.Class != name {
+				continue
+			}
+			within := config.Micro(o.WithinS)
+			switch o.Kind {
+			case "wait":
+				if cl.wait == 0 || within < cl.wait {
+					cl.wait = within
+				}
+			case "finished":
+				if cl.finish == 0 || within < cl.finish {
+					cl.finish = within
+				}
+			}
+		}
+		c.classes[name] = cl
+	}
+	return cl
+}
--- /dev/null
+++ b/internal/sched/report.go
@@ -0,0 +1,341 @@
+package sched
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
+
+// Record is the stored account of what may be on a machine.
+type Record struct {
+	Addr    string   `msgpack:"A"`
+	Type    string   `msgpack:"B"`
+	Zone    string   `msgpack:"D"`
+	Spot    bool     `msgpack:"L"`
+	Session uint64   `msgpack:"S"`
+	Tasks   []string `msgpack:"T"` // "task attempt"
+	Mark    string   `msgpack:"M"` // tells one write from another
+}
+
+func (c *Core) newMachine(host, addr, typ, zone string, spot bool) *machine {
+	t := c.types[typ]
+	if t == nil {
+		t = &wire.MachineType{Name: typ, Zones: []string{zone}} // not in the catalog: no room
+		c.types[typ] = t
+	}
+	m := &machine{host: host, addr: addr, kind: t, zone: zone, spot: spot, born: c.now, idleSince: c.now,
+		tasks: map[taskKey][]*placement{}, images: map[string]Micros{}, fetchingImages: map[string]Micros{}, errJobs: map[string]bool{}}
+	c.machines[host] = m
+	return m
+}
+
+// LoadMachine takes a stored record at the start of a term. All its tasks count
+// as on the machine until proof of the contrary.
+func (c *Core) LoadMachine(host string, r Record, version uint64) {
+	m := c.newMachine(host, r.Addr, r.Type, r.Zone, r.Spot)
+	m.version, m.session, m.recorded, m.up = version, r.Session, true, true
+	for _, s := range r.Tasks {
+		name, att, _ := strings.Cut(s, " ")
+		id, t, ok := wire.ParseTask(name)
+		attempt, err := strconv.ParseUint(att, 10, 64)
+		j := c.jobs[id]
+		// A job's record is deleted only after all its placements were proven
+		// gone, so a task of an unknown job is not on the machine.
+		if !ok || err != nil || j == nil || int(t) >= j.spec.Tasks {
+			continue
+		}
+		p := c.place(j, t, m, attempt)
+		p.stored = true
+		if j.gang() && attempt > j.attempt {
+			j.attempt = attempt
+		}
+	}
+}
+
+func (c *Core) record(m *machine) Record {
+	r := Record{Addr: m.addr, Type: m.kind.Name, Zone: m.zone, Spot: m.spot, Session: m.session}
+	m.each(func(p *placement) {
+		r.Tasks = append(r.Tasks, wire.TaskName(p.job.id, p.task)+" "+strconv.FormatUint(p.attempt, 10))
+	})
+	sort.Strings(r.Tasks)
+	return r
+}
+
+// place books a task on a machine.
+func (c *Core) place(j *job, t int32, m *machine, attempt uint64) *placement {
+	p := &placement{taskKey: taskKey{j, t}, attempt: attempt, m: m, placed: c.now}
+	m.tasks[p.taskKey] = append(m.tasks[p.taskKey], p)
+	m.n++
+	m.cpus += j.spec.CPUs
+	m.gpus += j.spec.GPUs
+	m.mem += j.spec.MemoryGB
+	j.team.cpus += j.spec.CPUs
+	j.team.gpus += j.spec.GPUs
+	j.placements[p] = struct{}{}
+	j.count[t]++
+	return p
+}
+
+// free removes a placement after proof that the task is not on the machine and
+// can't start there any more.
+func (c *Core) free(p *placement) {
+	j, m := p.job, p.m
+	if _, ok := j.placements[p]; !ok {
+		return
+	}
+	delete(j.placements, p)
+	ps := m.tasks[p.taskKey]
+	for i := range ps {
+		if ps[i] == p {
+			ps = append(ps[:i:i], ps[i+1:]...)
+			break
+		}
+	}
+	if len(ps) == 0 {
+		delete(m.tasks, p.taskKey)
+	} else {
+		m.tasks[p.taskKey] = ps
+	}
+	m.n--
+	m.cpus -= j.spec.CPUs
+	m.gpus -= j.spec.GPUs
+	m.mem -= j.spec.MemoryGB
+	j.team.cpus -= j.spec.CPUs
+	j.team.gpus -= j.spec.GPUs
+	if m.n == 0 {
+		m.cpus, m.gpus, m.mem = 0, 0, 0
+		m.idleSince = c.now
+	}
+	if j.count[p.task]--; j.count[p.task] <= 0 {
+		delete(j.count, p.task)
+		if !j.over() && !j.isDone(p.task) {
+			if !j.gang() {
+				j.retry = append(j.retry, p.task)
+			}
+			if j.waitSince == 0 {
+				j.waitSince = c.now
+			}
+		}
+	}
+	if j.gang() && p.attempt == j.attempt && !j.over() {
+		if j.started || p.state == wire.TaskExited {
+			j.broken = true // a running gang that lost a task falls back to its checkpoint
+		}
+	}
+	if j.gang() && len(j.placements) == 0 {
+		j.started, j.broken = false, false
+		j.attempt = 0
+	}
+	c.tryForget(j)
+}
+
+// Report takes a worker's report that this overseer is entitled to answer with
+// 200, and returns the answer.
+//
+// What a report proves rests on the order in which a worker acts: it has one
+// report in flight at a time and drops an answer once it has given up on the
+// report. So when the newest report of a worker that has seen this term's token
+// arrives, no answer to it is outstanding, answers of older overseers will be
+// dropped, and the machine holds exactly the tasks listed.
+func (c *Core) Report(r *wire.Report, now Micros) wire.ReportAnswer {
+	c.now = now
+	a := wire.ReportAnswer{Token: c.token, Orders: []wire.Order{}}
+	m := c.machines[r.Host]
+	if m == nil {
+		// An unexpected machine, or one that the list does not show yet: adopt it.
+		m = c.newMachine(r.Host, r.Addr, r.Type, r.Zone, r.Spot)
+	}
+	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq && m.seq > 0) {
+		return a // late: its task list is older than what is known
+	}
+	if r.Token != c.token {
+		// The worker has not seen this term's token. Its list may predate a
+		// launch by an older overseer, so it proves nothing; but the answer
+		// hands out the token, and the worker reports again at once.
+		m.up = true
+		m.addr = r.Addr
+		if !m.confirmed {
+			m.lastHello = now
+		}
+		return a
+	}
+	m.addr, m.up, m.lost = r.Addr, true, false
+	newSession := r.Session > m.session
+	if newSession {
+		m.confirmed = false
+		// The worker killed and forgot all tasks of the earlier session, and
+		// drops answers to reports of that session.
+		m.each(func(p *placement) {
+			if p.stored {
+				c.free(p)
+			}
+		})
+	}
+	if !m.confirmed && m.n == 0 {
+		m.idleSince = now
+	}
+	m.session, m.seq, m.lastHello, m.confirmed = r.Session, r.Seq, now, true
+	m.recallAt = 0
+	if r.NoticeS != nil {
+		m.recallAt = now + config.Micro(*r.NoticeS)
+	}
+	if m.returning {
+		// Its tasks are about to go; nothing is launched, stops still make sense.
+		c.observe(m, r, &a)
+		return a
+	}
+	c.observe(m, r, &a)
+	c.launches(m, &a)
+	return a
+}
+
+// observe brings the placements of a machine in line with its report.
+func (c *Core) observe(m *machine, r *wire.Report, a *wire.ReportAnswer) {
+	present := make(map[*placement]bool, len(r.Tasks))
+	m.checkpoints = 0
+	clear(m.fetchingImages)
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		id, num, ok := wire.ParseTask(t.Task)
+		j := c.jobs[id]
+		if !ok || j == nil || int(num) >= j.spec.Tasks {
+			a.Orders = append(a.Orders, removal(t))
+			continue
+		}
+		p := m.find(taskKey{j, num}, t.Attempt)
+		if t.State == wire.TaskExited {
+			c.exited(m, j, num, t, p)
+			if t.Cause != wire.CauseDone || j.ended != "" || j.spec.Shape == wire.Service || j.has(j.storedDone, num) {
+				a.Orders = append(a.Orders, wire.Order{Op: wire.Clear, Task: t.Task, Attempt: t.Attempt})
+			}
+			continue
+		}
+		if p == nil {
+			// Not in the books: it occupies its place all the same until it is gone.
+			p = c.place(j, num, m, t.Attempt)
+			p.stored = true
+			if c.stray(p) {
+				p.stop = true
+			}
+		}
+		present[p] = true
+		p.seen = true
+		if t.State == wire.TaskRunning && p.running == 0 {
+			p.running = c.now
+			if j.gang() && t.Attempt == j.attempt {
+				j.started = true
+			}
+		}
+		p.state = t.State
+		switch t.State {
+		case wire.TaskFetching:
+			m.fetchingImages[j.spec.Image] = p.placed
+		case wire.TaskSaving:
+			m.checkpoints++
+		}
+		if t.State != wire.TaskFetching {
+			c.cached(m, j)
+		}
+		if p.stop && !(p.checkpoint && t.State == wire.TaskSaving) {
+			a.Orders = append(a.Orders, p.order())
+		}
+	}
+	m.each(func(p *placement) {
+		if present[p] || !p.stored {
+			return
+		}
+		// Absent from an exact list: gone, or its launch never arrived. A
+		// launch that is still wanted is sent again with this answer.
+		if p.seen || p.stop || p.job.over() || p.job.isDone(p.task) {
+			c.free(p)
+		}
+	})
+}
+
+// stray says whether a task found outside the books must go: its job is over,
+// the task is done, or another copy may exist.
+func (c *Core) stray(p *placement) bool {
+	j := p.job
+	return j.over() || j.isDone(p.task) || j.count[p.task] > 1 || (j.gang() && p.attempt != j.attempt)
+}
+
+func removal(t *wire.TaskReport) wire.Order {
+	if t.State == wire.TaskExited {
+		return wire.Order{Op: wire.Clear, Task: t.Task, Attempt: t.Attempt}
+	}
+	zero := 0.0
+	return wire.Order{Op: wire.Stop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero}
+}
+
+// cached notes that a machine has a job's image.
+func (c *Core) cached(m *machine, j *job) {
+	m.images[j.spec.Image] = c.now
+}
+
+func (c *Core) exited(m *machine, j *job, num int32, t *wire.TaskReport, p *placement) {
+	if t.Cause == wire.CauseDone {
+		if p != nil && p.running > 0 && j.spec.EstimateS > 0 && !j.isDone(num) {
+			actual := float64(c.now-p.running) / float64(second) / j.spec.EstimateS
+			j.class.ratio += 0.1 * (min(max(actual, 0.2), 5) - j.class.ratio)
+		}
+		if !j.isDone(num) {
+			c.markDone(j, num)
+		}
+		clear(m.errJobs)
+		c.cached(m, j)
+	}
+	if p == nil {
+		return // freed before; the clear is repeated until it is gone
+	}
+	p.state = wire.TaskExited
+	switch t.Cause {
+	case wire.CauseStopped:
+		if t.Saved && p.running > 0 {
+			j.savedRun += c.now - p.running
+			if took := float64(c.now-p.stopSent) / float64(second); p.checkpoint && took > 0 && j.spec.MemoryGB > 0 {
+				// The paper's bandwidth, learned from saves that were observed.
+				c.bwWrite += 0.2 * (j.spec.MemoryGB/max(took, 0.5) - c.bwWrite)
+			}
+		}
+	case wire.CauseError:
+		c.Stats.Errors++
+		m.errJobs[j.id] = true
+		if j.errorHosts == nil {
+			j.errorHosts = map[string]bool{}
+		}
+		j.errorHosts[m.host] = true
+		j.errors++
+		// A faulty machine fails many jobs, a faulty job fails on many machines:
+		// the machine rests a little, the job waits ever longer.
+		m.avoid = c.now + 10*second
+		if len(m.errJobs) >= 2 {
+			m.bad = true
+		}
+		if len(j.errorHosts) >= 2 {
+			j.notBefore = c.now + min(60, Micros(1)<<min(j.errors, 6))*second
+		}
+	case wire.CauseNoRoom, wire.CauseBusy:
+		m.avoid = c.now + 3*second
+	case wire.CauseUnknown:
+		j.notBefore = c.now + 3*second
+	case wire.CauseAlone, wire.CausePeers:
+		if j.gang() && p.attempt == j.attempt {
+			j.broken = true
+		}
+	}
+	c.free(p)
+}
+
+// launches adds the stored launches that the machine does not hold yet. They
+// are repeated until a report shows them, which the protocol allows.
+func (c *Core) launches(m *machine, a *wire.ReportAnswer) {
+	const most = 400 // keeps the answer within the body limit
+	m.each(func(p *placement) {
+		if p.stored && !p.seen && !p.stop && len(a.Orders) < most {
+			a.Orders = append(a.Orders, wire.Order{Op: wire.Launch, Task: wire.TaskName(p.job.id, p.task), Attempt: p.attempt})
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,205 @@
+// Package state is the typed client of the state service.
+package state
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"dalefront/internal/httpc"
+	"dalefront/wire"
+)
+
+var (
+	// ErrRefused means that the service did not execute the request (503, 429).
+	ErrRefused = errors.New("state service refused")
+	// ErrUnknown means that the request may have been, or may yet be, executed.
+	ErrUnknown = errors.New("state service gave no answer")
+	// ErrConflict means that a condition did not hold.
+	ErrConflict = errors.New("condition failed")
+	// ErrNoLease means that a put named a lease that has ended.
+	ErrNoLease = errors.New("no such lease")
+	// ErrCompacted means that a watch must read its keys again.
+	ErrCompacted = errors.New("watch too old")
+)
+
+// Client is safe for use by several goroutines.
+type Client struct {
+	calls   *httpc.Client
+	watches *httpc.Client
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+
+	mu     sync.Mutex
+	lastOK time.Time
+	failed time.Time
+}
+
+// New returns a client that keeps to its share of the service's limits.
+func New(addr string, rps, writeRPS float64) *Client {
+	return &Client{
+		calls:   httpc.New("http://"+addr, 12),
+		watches: httpc.New("http://"+addr, 4),
+		reads:   rate.NewLimiter(rate.Limit(rps*0.7), max(1, int(rps/2))),
+		writes:  rate.NewLimiter(rate.Limit(writeRPS*0.7), max(1, int(writeRPS*0.8))),
+	}
+}
+
+// Reachable says whether the service answered this node within the given time
+// and has not refused it since.
+func (c *Client) Reachable(within time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.lastOK) < within && !c.failed.After(c.lastOK)
+}
+
+func (c *Client) note(err error) error {
+	code := httpc.Code(err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err == nil, code == 404, code == 409, code == 400, code == 410, code == 429:
+		c.lastOK = time.Now()
+	case errors.Is(err, context.Canceled):
+	default:
+		c.failed = time.Now()
+	}
+	switch {
+	case err == nil:
+		return nil
+	case code == 503 || code == 429:
+		return fmt.Errorf("%w: %v", ErrRefused, err)
+	case code == 0:
+		return fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	return err
+}
+
+const callLimit = 1500 * time.Millisecond
+
+// call sends one request; a 429 was not executed, so it is sent again a few
+// times within the call's own patience.
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var err error
+	for i := 0; ; i++ {
+		if e := c.reads.Wait(ctx); e != nil {
+			return fmt.Errorf("%w: %v", ErrRefused, e)
+		}
+		err = c.calls.Call(ctx, callLimit, method, path, in, out)
+		if httpc.Code(err) != http.StatusTooManyRequests || i == 4 {
+			return c.note(err)
+		}
+		select {
+		case <-ctx.Done():
+			return c.note(err)
+		case <-time.After(time.Duration(60+60*i) * time.Millisecond):
+		}
+	}
+}
+
+// Get reads a key.
+func (c *Client) Get(ctx context.Context, key string) (wire.Entry, bool, error) {
+	var e wire.Entry
+	err := c.call(ctx, http.MethodGet, "/kv/"+key, nil, &e)
+	if httpc.Code(err) == http.StatusNotFound {
+		return e, false, nil
+	}
+	return e, err == nil, err
+}
+
+// List reads all keys with a prefix. The revision is that of the first page, so
+// a watch from there misses nothing.
+func (c *Client) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
+	var all []wire.Entry
+	var first uint64
+	from := ""
+	for {
+		q := url.Values{"Starts": {prefix}, "Page": {"1000"}}
+		if from != "" {
+			q.Set("From", from)
+		}
+		var page wire.Entries
+		if err := c.call(ctx, http.MethodGet, "/kv?"+q.Encode(), nil, &page); err != nil {
+			return nil, 0, err
+		}
+		if first == 0 {
+			first = page.Revision
+		}
+		all = append(all, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return all, first, nil
+		}
+		from = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Multi runs a transaction. On ErrConflict the answer names the failed keys.
+func (c *Client) Multi(ctx context.Context, txn wire.Txn) (wire.TxnAnswer, error) {
+	var a wire.TxnAnswer
+	if txn.If == nil {
+		txn.If = []wire.Cond{}
+	}
+	if n := len(txn.Then); n > 0 {
+		if err := c.writes.WaitN(ctx, min(n, c.writes.Burst())); err != nil {
+			return a, fmt.Errorf("%w: %v", ErrRefused, err)
+		}
+	}
+	err := c.call(ctx, http.MethodPost, "/multi", txn, &a)
+	var se *httpc.StatusError
+	if errors.As(err, &se) {
+		switch {
+		case se.Code == http.StatusConflict:
+			return a, ErrConflict
+		case se.Code == http.StatusBadRequest && se.Text == ErrNoLease.Error():
+			return a, ErrNoLease
+		}
+	}
+	return a, err
+}
+
+// Hold opens a lease.
+func (c *Client) Hold(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var l wire.Lease
+	err := c.call(ctx, http.MethodPost, "/holds", map[string]int64{"LifeMs": ttl.Milliseconds()}, &l)
+	return l.ID, err
+}
+
+// Touch renews a lease. It is not queued behind other requests: the budget of
+// reads leaves room for it.
+func (c *Client) Touch(ctx context.Context, id uint64) error {
+	err := c.note(c.calls.Call(ctx, time.Second, http.MethodPost, fmt.Sprintf("/holds/%d/touch", id), struct{}{}, nil))
+	if httpc.Code(err) == http.StatusNotFound {
+		return ErrNoLease
+	}
+	return err
+}
+
+// Release ends a lease at once.
+func (c *Client) Release(ctx context.Context, id uint64) error {
+	return c.call(ctx, http.MethodDelete, fmt.Sprintf("/holds/%d", id), nil, nil)
+}
+
+// Changes waits until a key with the prefix changes after the revision, or the
+// time runs out. Watches say nothing about reachability: an outage leaves them
+// open.
+func (c *Client) Changes(ctx context.Context, prefix string, from uint64, hold time.Duration) (wire.Events, error) {
+	if err := c.reads.Wait(ctx); err != nil {
+		return wire.Events{}, fmt.Errorf("%w: %v", ErrRefused, err)
+	}
+	q := url.Values{"Starts": {prefix}, "From": {fmt.Sprint(from)}, "HoldMs": {fmt.Sprint(hold.Milliseconds())}}
+	var ev wire.Events
+	err := c.watches.Call(ctx, hold+3*time.Second, http.MethodGet, "/changes?"+q.Encode(), nil, &ev)
+	if httpc.Code(err) == http.StatusGone {
+		return ev, ErrCompacted
+	}
+	if err != nil {
+		return ev, fmt.Errorf("%w: %v", ErrRefused, err)
+	}
+	return ev, nil
+}
--- /dev/null
+++ b/internal/worker/worker.go
@@ -0,0 +1,29 @@
+// Package worker is the typed client for commands sent straight to workers.
+package worker
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"dalefront/internal/httpc"
+	"dalefront/wire"
+)
+
+// Client sends direct commands.
+type Client struct{ calls *httpc.Client }
+
+// New returns a client.
+func New() *Client { return &Client{calls: httpc.New("", 1)} }
+
+// Orders sends stops and tokens to a worker. Launches never take this way: a
+// command may be held back and executed minutes later, and only a launch in a
+// report's answer is known to be either executed or dropped by the next report.
+func (c *Client) Orders(ctx context.Context, addr string, o wire.DirectOrders) (wire.Report, error) {
+	var r wire.Report
+	if o.Orders == nil {
+		o.Orders = []wire.Order{}
+	}
+	err := c.calls.Call(ctx, 2*time.Second, http.MethodPost, "http://"+addr+wire.PathOrders, o, &r)
+	return r, err
+}
