--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -12,6 +12,9 @@
 func (c *Core) Machines(list []wire.Machine, now Micros) {
 	c.now = now
 	for _, l := range list {
+		if _, gone := c.gone[l.ID]; gone {
+			continue // the list lags behind the return
+		}
 		m := c.machines[l.ID]
 		if m == nil {
 			m = c.newMachine(l.ID, l.Addr, l.Type, l.Zone, l.Spot)
@@ -67,7 +70,13 @@
 // confirmed their return.
 func (c *Core) Gone(hosts []string, now Micros) {
 	c.now = now
+	for h, at := range c.gone {
+		if now-at > 600*second {
+			delete(c.gone, h)
+		}
+	}
 	for _, h := range hosts {
+		c.gone[h] = now
 		m := c.machines[h]
 		if m == nil {
 			continue
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -281,6 +281,7 @@
 	types    map[string]*wire.MachineType
 	jobs     map[string]*job
 	machines map[string]*machine
+	gone     map[string]Micros // machines whose return was confirmed, and when
 	teams    map[string]*team
 	classes  map[string]*class
 
@@ -319,7 +320,7 @@
 func New(set *config.Settings, token uint64, now Micros, cat wire.Catalog, log func(string, ...any)) *Core {
 	c := &Core{
 		set: set, now: now, since: now, token: token,
-		types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
+		types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{}, gone: map[string]Micros{},
 		teams: map[string]*team{}, classes: map[string]*class{},
 		refused: map[string]Micros{}, backoff: map[string]Micros{}, hiring: map[string]int{},
 		lease:      config.Micro(set.Deployment.Workers.LeaseS),
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -143,6 +143,9 @@
 func (c *Core) Report(r *wire.Report, now Micros) wire.ReportAnswer {
 	c.now = now
 	a := wire.ReportAnswer{Token: c.token, Orders: []wire.Order{}}
+	if _, gone := c.gone[r.Host]; gone {
+		return a // sent before the machine was returned
+	}
 	m := c.machines[r.Host]
 	if m == nil {
 		// An unexpected machine, or one that the list does not show yet: adopt it.
