--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -115,7 +115,7 @@
 }
 
 func (o *Operator) defaults() {
-	o.IdleReturnS = or(o.IdleReturnS, 75)
+	o.IdleReturnS = or(o.IdleReturnS, 50)
 	o.EvictAfterS = or(o.EvictAfterS, 1.5)
 	o.SpareFactor = or(o.SpareFactor, 1)
 	o.MaxMachines = or(o.MaxMachines, 1000)
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -146,7 +146,7 @@
 		}
 	}
 	lag := config.Micro(c.set.Deployment.Cloud.ListLagS)
-	idleAfter := config.Micro(*c.set.Operator.IdleReturnS)
+	idleMost := config.Micro(*c.set.Operator.IdleReturnS)
 	cancel := config.Micro(c.set.Deployment.Workers.CancelS)
 	hosts := c.sortedMachines()
 	for _, m := range hosts {
@@ -191,6 +191,8 @@
 	need := c.spares(now)
 	sort.SliceStable(hosts, func(a, b int) bool { return c.price(hosts[a]) > c.price(hosts[b]) })
 	for _, m := range hosts {
+		// Keeping a machine is worth as much as booting another one would cost.
+		idleAfter := min(idleMost, config.Micro(1.3*m.kind.BootS))
 		if m.returning || !m.confirmed || m.n > 0 || m.reserved != nil || now-m.idleSince < idleAfter {
 			continue
 		}
@@ -250,7 +252,7 @@
 		// Poisson arrivals during a boot, less what finishes meanwhile is left
 		// to chance: the mean plus one deviation.
 		n := cl.perSecond(now) * (boot + 10)
-		slots := int(math.Ceil((n + math.Sqrt(n)) * *c.set.Operator.SpareFactor * 0.5))
+		slots := int(math.Round((n + math.Sqrt(n)) * *c.set.Operator.SpareFactor * 0.5))
 		if slots > 0 {
 			out = append(out, demand{cl.sample, slots})
 		}
@@ -339,7 +341,7 @@
 	}
 	need = append(need, c.spares(now)...)
 	count := map[string]*wire.Hire{}
-	var order []string
+	var order, full []string
 	for _, d := range need {
 		left := d.slots
 		j := d.job
@@ -380,24 +382,35 @@
 				order = append(order, k)
 			}
 			count[k].Count++
-			if count[k].Count >= 12 {
-				break
+			if count[k].Count == perKind {
+				c.refused[k] = now // full for this round: go on with the next kind
+				full = append(full, k)
 			}
 		}
 	}
+	for _, k := range full {
+		delete(c.refused, k)
+	}
 	var out []wire.Hire
 	for _, k := range order {
-		if len(out) == 4 {
+		if len(out) == max(2, int(c.set.Deployment.Cloud.RPS)) {
 			break
 		}
 		h := *count[k]
-		h.Count = min(h.Count, 50)
 		c.hiring[h.Type] += h.Count
 		out = append(out, h)
 	}
 	return out
 }
 
+// perKind bounds one rental request, so that a round spreads over zones and
+// kinds instead of finding out one by one which are empty.
+const perKind = 6
+
+// dearest is how many times the cheapest price per task may be paid for a job
+// whose start no aim watches.
+const dearest = 3
+
 // choose picks the type, zone and kind with the least price for a task of the
 // job among those not lately refused, spread over zones.
 func (c *Core) choose(j *job, left int) (*wire.MachineType, string, bool, bool) {
@@ -409,6 +422,12 @@
 	var zone string
 	var spot bool
 	bestPrice := math.Inf(1)
+	cheapest := math.Inf(1)
+	for _, t := range c.types {
+		if n := slots(j, t, 0, 0, 0); n > 0 && fitsType(&j.spec, t) && t.Price > 0 {
+			cheapest = min(cheapest, t.Price/float64(n))
+		}
+	}
 	names := make([]string, 0, len(c.types))
 	for n := range c.types {
 		names = append(names, n)
@@ -428,7 +447,10 @@
 				continue
 			}
 			for _, s := range []bool{true, false} {
-				if (s && !j.spec.Spot) || c.now < c.refused[spotKey(n, z, s)] || rate(t, s) <= 0 {
+				if (s && !j.spec.Spot) || c.now <= c.refused[spotKey(n, z, s)] || rate(t, s) <= 0 {
+					continue
+				}
+				if per := rate(t, false) / float64(slots(j, t, 0, 0, 0)); j.class.wait == 0 && per > dearest*cheapest {
 					continue
 				}
 				price := rate(t, s) / float64(k) * (1 + 0.01*float64(inZone[z]))
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -194,6 +194,7 @@
 	arrivals float64 // decayed count of tasks that arrived
 	at       Micros
 	sample   *job // a recent job, for its shape
+	waiting  int  // jobs that wait for room, as of the last pass
 	wait     Micros
 	finish   Micros
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -117,6 +117,9 @@
 		if (only != "" && m.zone != only) || !allowed(j, m) || !room(j, m, 1) || !c.usable(m) || m.n >= c.maxPer || !zoneOK(j, zones, m.zone) {
 			continue
 		}
+		if j.spec.GPUs == 0 && m.kind.GPUs > 0 && !c.mayBlockGPUs(j, m) {
+			continue
+		}
 		if m.reserved != nil && m.reserved != j && c.now < m.reservedTill && m.reserved.rank >= j.rank && !m.reserved.over() {
 			continue
 		}
@@ -131,14 +134,45 @@
 	return best
 }
 
+// mayBlockGPUs says whether a task without graphics may go to a graphics
+// machine. It may as long as it leaves what the free GPUs' own tasks need beside
+// them; beyond that only if its start is watched by an aim and no GPU task of
+// its rank waits. Otherwise small tasks fill the machines' processors and their
+// GPUs, the dearest part, stand idle.
+func (c *Core) mayBlockGPUs(j *job, m *machine) bool {
+	var cpus, mem float64 // the most that a task takes beside one GPU
+	rank, waiting := -1, false
+	for _, cl := range c.classes {
+		if cl.sample == nil || cl.sample.spec.GPUs <= 0 {
+			continue
+		}
+		s := &cl.sample.spec
+		cpus, mem = max(cpus, s.CPUs/s.GPUs), max(mem, s.MemoryGB/s.GPUs)
+		rank = max(rank, cl.sample.rank)
+		waiting = waiting || cl.waiting > 0
+	}
+	if rank < 0 {
+		return true
+	}
+	free := m.kind.GPUs - m.gpus
+	if m.cpus+j.spec.CPUs+free*cpus <= m.kind.CPUs+eps && m.mem+j.spec.MemoryGB+free*mem <= m.kind.MemoryGB+eps {
+		return true
+	}
+	return j.rank > rank || (j.class.wait > 0 && j.rank >= rank && !waiting)
+}
+
 // queue returns the jobs that wait, in the order in which they are served:
 // priority, work within guarantees, then what is due first among what can still
 // make it.
 func (c *Core) queue() []*job {
 	var q []*job
+	for _, cl := range c.classes {
+		cl.waiting = 0
+	}
 	for _, j := range c.jobs {
 		if j.pending() > 0 {
 			q = append(q, j)
+			j.class.waiting++
 		} else {
 			j.waitSince = 0
 		}
