Answer a query with the end that arrives while it is read

Ruled out: a deleted record (its end stays). The query now keeps what it knew and prefers an end that came meanwhile.

--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -115,7 +115,8 @@
 	if st, ok := n.final(id); ok {
 		return st, nil
 	}
-	if !n.knows(id) {
+	accepted := n.knows(id)
+	if !accepted {
 		// First the job, then its end: the job's record is deleted only after
 		// its end was created, so finding neither means that it was never
 		// accepted.
@@ -123,17 +124,23 @@
 		if err != nil {
 			return wire.JobStatus{}, api.ErrNotNow
 		}
-		if found {
+		if accepted = found; found {
 			n.setKnown(id)
 		}
 	}
 	st, ended, err := n.readEnd(ctx, id)
+	if late, ok := n.final(id); ok {
+		// The end came by another way while it was read. Asking once more
+		// whether the job is known would find it gone from the known ones, and
+		// an accepted job would get 404.
+		return late, nil
+	}
 	switch {
 	case err != nil:
 		return wire.JobStatus{}, api.ErrNotNow
 	case ended:
 		return st, nil
-	case !n.knows(id):
+	case !accepted:
 		return wire.JobStatus{}, api.ErrUnknown
 	}
 	return n.display(ctx, id), nil
