--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -43,6 +43,7 @@
 	cpus    float64
 
 	stored  bool // the write-ahead record is durable
+	loaded  bool // from a record of an earlier term: never launched again
 	seen    bool // a report showed it
 	state   string
 	placed  Micros
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		p := c.place(j, t, m, attempt)
-		p.stored = true
+		p.stored, p.loaded = true, true
 		if j.gang() && attempt > j.attempt {
 			j.attempt = attempt
 		}
@@ -251,8 +251,10 @@
 			return
 		}
 		// Absent from an exact list: gone, or its launch never arrived. A
-		// launch that is still wanted is sent again with this answer.
-		if p.seen || p.stop || p.job.over() || p.job.isDone(p.task) {
+		// launch that is still wanted is sent again with this answer, but only
+		// one of this term: a record may be older than the task's exit and its
+		// start elsewhere, and after a clear a repeated launch starts it again.
+		if p.seen || p.stop || p.loaded || p.job.over() || p.job.isDone(p.task) {
 			c.free(p)
 		}
 	})
@@ -337,7 +339,7 @@
 func (c *Core) launches(m *machine, a *wire.ReportAnswer) {
 	const most = 400 // keeps the answer within the body limit
 	m.each(func(p *placement) {
-		if p.stored && !p.seen && !p.stop && len(a.Orders) < most {
+		if p.stored && !p.seen && !p.stop && !p.loaded && len(a.Orders) < most {
 			a.Orders = append(a.Orders, wire.Order{Op: wire.Launch, Task: wire.TaskName(p.job.id, p.task), Attempt: p.attempt})
 		}
 	})
--- /dev/null
+++ b/internal/sim/world_test.go
@@ -0,0 +1,156 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"dalefront/internal/config"
+	"dalefront/internal/sched"
+	"dalefront/wire"
+)
+
+const settings = `
+label = "a"
+serve_on = "127.0.0.1:1"
+mesh_addr = "127.0.0.1:2"
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[[deployment.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 20.0
+[[deployment.teams]]
+name = "blue"
+[deployment.workers]
+report_s = 1.5
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 30.0
+[deployment.state]
+rps = 50.0
+write_rps = 20.0
+value_kb = 16.0
+txn_ops = 6
+[deployment.cloud]
+rps = 4.0
+list_lag_s = 5.0
+[deployment.resources]
+cores = 0.2
+ram_mb = 100.0
+sockets = 500
+`
+
+func world(t *testing.T, seed uint64) *World {
+	t.Helper()
+	set, err := config.Parse([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(seed, set, wire.Catalog{Types: []wire.MachineType{
+		{Name: "s", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPS: 0.5, Price: 1, SpotPrice: 0.4, BootS: 20, Zones: []string{"x", "y"}},
+		{Name: "g", CPUs: 8, GPUs: 2, MemoryGB: 64, CacheGB: 50, FetchGBPS: 0.5, Price: 4, SpotPrice: 2, BootS: 30, Zones: []string{"x", "y"}},
+	}})
+}
+
+func randomJob(w *World, n int) wire.Job {
+	r := w.Rng
+	j := wire.Job{ID: fmt.Sprintf("j-%06d", n), Class: "c", Team: []string{"red", "blue"}[r.IntN(2)],
+		Shape:    []string{wire.Array, wire.Array, wire.Gang, wire.Service}[r.IntN(4)],
+		Priority: []string{wire.Low, wire.Normal, wire.High, wire.Production}[r.IntN(4)],
+		Tasks:    1 + r.IntN(6), CPUs: float64(1 + r.IntN(3)), MemoryGB: 2, Image: "i", ImageGB: 1,
+		Spot: r.IntN(2) == 0, OneZone: r.IntN(3) == 0, Spread: r.IntN(5) == 0, EstimateS: 10}
+	if j.OneZone {
+		j.Spread = false
+	}
+	if r.IntN(2) == 0 {
+		j.CheckpointEvery, j.SaveS = 5, 2
+	}
+	if r.IntN(4) == 0 {
+		j.GPUs = 1
+	}
+	if r.IntN(6) == 0 {
+		z := "x"
+		j.Zone = &z
+	}
+	return j
+}
+
+// TestRules runs random worlds with crashes of the overseer, lost, late and
+// reordered reports, dying machines, refused and unknown transactions, and
+// checks the protocol's rules after every step.
+func TestRules(t *testing.T) {
+	runs, done := 0, 0
+	for seed := uint64(1); seed <= 24; seed++ {
+		w := world(t, seed)
+		for i := 0; i < 6; i++ {
+			w.Boot([]string{"s", "g"}[i%2], []string{"x", "y"}[i/2%2], i%3 == 0)
+		}
+		jobs := 0
+		for step := 0; step < 4000; step++ {
+			r := w.Rng
+			if r.IntN(60) == 0 && len(w.Active()) < 12 {
+				jobs++
+				if j := randomJob(w, jobs); sched.Admit(w.Set, w.Catalog, &j) == nil {
+					w.Submit(j)
+				}
+			}
+			if a := w.Active(); r.IntN(200) == 0 && len(a) > 0 {
+				w.Cancel(a[r.IntN(len(a))])
+			}
+			if r.IntN(400) == 0 {
+				w.Takeover()
+			}
+			if r.IntN(800) == 0 {
+				w.Kill()
+			}
+			w.Step()
+			if len(w.Broken) > 0 {
+				t.Fatalf("seed %d, step %d: %s", seed, step, w.Broken[0])
+			}
+		}
+		runs += w.Runs
+		done += w.Done
+	}
+	if runs < 1000 || done < 100 {
+		t.Fatalf("the worlds did too little to show anything: %d starts, %d jobs done", runs, done)
+	}
+}
+
+// TestChecksCanFail plants one violation of each kind.
+func TestChecksCanFail(t *testing.T) {
+	plant := func(kind string, f func(w *World)) {
+		w := world(t, 1)
+		w.Boot("s", "x", true)
+		w.Boot("s", "y", true)
+		j := wire.Job{ID: "j-1", Team: "red", Shape: wire.Array, Tasks: 4, CPUs: 12, Spot: kind != "wrong_place"}
+		w.Submit(j)
+		f(w)
+		w.Check()
+		if len(w.Broken) == 0 || !strings.Contains(w.Broken[0], kind) {
+			t.Errorf("%s was not noticed: %v", kind, w.Broken)
+		}
+	}
+	start := func(w *World, host, name string) {
+		k := w.workers[host]
+		w.execute(k, wire.Order{Op: wire.Launch, Task: name, Attempt: 1})
+		w.begin(k, k.tasks[name])
+	}
+	plant("ran_twice", func(w *World) { start(w, "n-000001", "j-1/0"); start(w, "n-000002", "j-1/0") })
+	plant("quota", func(w *World) { start(w, "n-000001", "j-1/0"); start(w, "n-000002", "j-1/1") })
+	plant("wrong_place", func(w *World) { start(w, "n-000001", "j-1/0") })
+	plant("ran_cancelled", func(w *World) {
+		start(w, "n-000001", "j-1/0")
+		w.ends["j-1"], w.endAt["j-1"] = wire.JobCancelled, w.Now
+		w.Now += 40 * second
+	})
+	plant("not_done", func(w *World) {
+		for i := int32(0); i < 4; i++ { // reports of completions that never were
+			w.Core.Report(&wire.Report{Host: "n-000001", Type: "s", Zone: "x", Session: 1, Seq: uint64(i + 1), Token: w.token,
+				Tasks: []wire.TaskReport{{Task: wire.TaskName("j-1", i), Attempt: 1, State: wire.TaskExited, Cause: wire.CauseDone}}}, w.Now)
+		}
+		w.overseerStep()
+	})
+}
