--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -163,6 +163,16 @@
 	return Micros(j.spec.EstimateS * j.class.ratio * float64(second))
 }
 
+// start is when a task of the job should start at the latest, as far as the
+// aims say.
+func (j *job) start() Micros {
+	s := j.due - j.estimate()
+	if j.class.wait > 0 {
+		s = min(s, j.arrival+j.class.wait)
+	}
+	return s
+}
+
 type team struct {
 	config.Team
 	cpus, gpus float64
@@ -195,7 +205,6 @@
 	arrivals float64 // decayed count of tasks that arrived
 	at       Micros
 	sample   *job // a recent job, for its shape
-	waiting  int  // jobs that wait for room, as of the last pass
 	wait     Micros
 	finish   Micros
 }
@@ -296,6 +305,7 @@
 	dropHost []string
 	direct   []Direct
 	commit   *Commit
+	gpus     gpuView
 	refused  map[string]Micros // type/zone/spot without capacity, until
 	backoff  map[string]Micros
 	hiring   map[string]int // machines asked for, by type
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -134,45 +134,69 @@
 	return best
 }
 
-// mayBlockGPUs says whether a task without graphics may go to a graphics
-// machine. It may as long as it leaves what the free GPUs' own tasks need beside
-// them; beyond that only if its start is watched by an aim and no GPU task of
-// its rank waits. Otherwise small tasks fill the machines' processors and their
-// GPUs, the dearest part, stand idle.
-func (c *Core) mayBlockGPUs(j *job, m *machine) bool {
-	var cpus, mem float64 // the most that a task takes beside one GPU
-	rank, waiting := -1, false
+// gpuView sums up, once a pass, what graphics tasks need.
+type gpuView struct {
+	any       bool
+	rank      int
+	cpus, mem float64 // the most that a task takes beside one GPU
+	free      float64 // GPUs free on usable machines
+	waiting   float64 // GPUs wanted by waiting tasks
+	rate      float64 // GPUs wanted per second by arrivals
+}
+
+func (c *Core) viewGPUs(queue []*job) {
+	v := gpuView{rank: -1}
 	for _, cl := range c.classes {
 		if cl.sample == nil || cl.sample.spec.GPUs <= 0 {
 			continue
 		}
 		s := &cl.sample.spec
-		cpus, mem = max(cpus, s.CPUs/s.GPUs), max(mem, s.MemoryGB/s.GPUs)
-		rank = max(rank, cl.sample.rank)
-		waiting = waiting || cl.waiting > 0
+		v.any = true
+		v.cpus, v.mem = max(v.cpus, s.CPUs/s.GPUs), max(v.mem, s.MemoryGB/s.GPUs)
+		v.rank = max(v.rank, cl.sample.rank)
+		v.rate += cl.perSecond(c.now) * s.GPUs
+	}
+	for _, j := range queue {
+		v.waiting += float64(j.pending()) * j.spec.GPUs
+	}
+	for _, m := range c.machines {
+		if c.usable(m) {
+			v.free += max(0, m.kind.GPUs-m.gpus)
+		}
 	}
-	if rank < 0 {
+	c.gpus = v
+}
+
+// mayBlockGPUs says whether a task without graphics may go to a graphics
+// machine. It may as long as it leaves what the free GPUs' own tasks need beside
+// them. Beyond that it may if it ranks higher or an aim watches its start, or if
+// enough GPUs stay free elsewhere for the graphics tasks that arrive during its
+// stay. Otherwise small tasks fill the processors of the graphics machines and
+// their GPUs, the dearest part, stand idle.
+func (c *Core) mayBlockGPUs(j *job, m *machine) bool {
+	v := &c.gpus
+	if !v.any || j.rank > v.rank {
 		return true
 	}
 	free := m.kind.GPUs - m.gpus
-	if m.cpus+j.spec.CPUs+free*cpus <= m.kind.CPUs+eps && m.mem+j.spec.MemoryGB+free*mem <= m.kind.MemoryGB+eps {
+	if m.cpus+j.spec.CPUs+free*v.cpus <= m.kind.CPUs+eps && m.mem+j.spec.MemoryGB+free*v.mem <= m.kind.MemoryGB+eps {
 		return true
 	}
-	return j.rank > rank || (j.class.wait > 0 && j.rank >= rank && !waiting)
+	if j.rank == v.rank && j.class.wait > 0 {
+		return true
+	}
+	coming := v.rate * float64(j.estimate()) / float64(second)
+	return v.waiting == 0 && v.free-free >= coming+math.Sqrt(coming)
 }
 
 // queue returns the jobs that wait, in the order in which they are served:
-// priority, work within guarantees, then what is due first among what can still
-// make it.
+// priority, work within guarantees, then what must start first among what can
+// still make it.
 func (c *Core) queue() []*job {
 	var q []*job
-	for _, cl := range c.classes {
-		cl.waiting = 0
-	}
 	for _, j := range c.jobs {
 		if j.pending() > 0 {
 			q = append(q, j)
-			j.class.waiting++
 		} else {
 			j.waitSince = 0
 		}
@@ -194,8 +218,8 @@
 			return kx.within
 		case kx.late != ky.late:
 			return !kx.late
-		case x.due != y.due:
-			return x.due < y.due
+		case x.start() != y.start():
+			return x.start() < y.start()
 		}
 		return x.id < y.id
 	})
@@ -217,7 +241,9 @@
 	}
 	b := &batch{c: c, machines: map[*machine]bool{}, jobs: map[*job]bool{},
 		maxMachines: max(1, c.set.Deployment.State.TxnOps), maxJobs: max(1, 3*c.set.Deployment.State.TxnOps-1)}
-	for _, j := range c.queue() {
+	queue := c.queue()
+	c.viewGPUs(queue)
+	for _, j := range queue {
 		if now < j.notBefore {
 			continue
 		}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -58,6 +58,12 @@
 	delay  int64
 }
 
+// news is an end that the watch has yet to bring to the overseer.
+type news struct {
+	id string
+	at int64
+}
+
 type stored struct {
 	rec     sched.Record
 	version uint64
@@ -88,6 +94,7 @@
 
 	commit   *sched.Commit
 	commitAt int64
+	watch    []news
 
 	completed map[string]map[string]bool // job -> tasks completed
 	forgotten map[string]bool
@@ -190,9 +197,7 @@
 func (w *World) Cancel(id string) {
 	if w.ends[id] == "" {
 		w.ends[id], w.endAt[id] = wire.JobCancelled, w.Now
-		if w.Rng.IntN(3) > 0 { // otherwise the watch is late
-			w.Core.Ended(id, wire.JobCancelled, w.Now, w.Now)
-		}
+		w.watch = append(w.watch, news{id, w.Now + int64(w.Rng.IntN(int(4*second)))})
 	}
 }
 
@@ -426,6 +431,11 @@
 // overseerStep carries out the core's effects, with delays and refusals.
 func (w *World) overseerStep() {
 	c := w.Core
+	for len(w.watch) > 0 && w.watch[0].at <= w.Now {
+		id := w.watch[0].id
+		w.watch = w.watch[1:]
+		c.Ended(id, w.ends[id], w.endAt[id], w.Now)
+	}
 	if w.commit == nil && w.Rng.IntN(3) == 0 {
 		if cm := c.Schedule(w.Now); cm != nil {
 			w.commit, w.commitAt = cm, w.Now+int64(w.Rng.IntN(400_000))
