--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -102,6 +102,7 @@
 	IdleReturnS   *float64 `hcl:"idle_return_s,optional"`
 	EvictAfterS   *float64 `hcl:"evict_after_s,optional"`
 	SpareFactor   *float64 `hcl:"spare_factor,optional"`
+	ReserveFactor *float64 `hcl:"reserve_factor,optional"`
 	MaxMachines   *int     `hcl:"max_machines,optional"`
 	TermS         *float64 `hcl:"term_s,optional"`
 	CheckpointMBS *float64 `hcl:"checkpoint_mb_per_s,optional"`
@@ -118,6 +119,7 @@
 	o.IdleReturnS = or(o.IdleReturnS, 50)
 	o.EvictAfterS = or(o.EvictAfterS, 1.5)
 	o.SpareFactor = or(o.SpareFactor, 1)
+	o.ReserveFactor = or(o.ReserveFactor, 1.25)
 	o.MaxMachines = or(o.MaxMachines, 1000)
 	o.TermS = or(o.TermS, 3)
 	o.CheckpointMBS = or(o.CheckpointMBS, 100)
@@ -131,6 +133,7 @@
 		{"idle_return_s", *o.IdleReturnS, 1, 86400},
 		{"evict_after_s", *o.EvictAfterS, 0, 3600},
 		{"spare_factor", *o.SpareFactor, 0, 10},
+		{"reserve_factor", *o.ReserveFactor, 0, 10},
 		{"max_machines", float64(*o.MaxMachines), 1, 100000},
 		{"term_s", *o.TermS, 0.5, 60},
 		{"checkpoint_mb_per_s", *o.CheckpointMBS, 0.1, 1e6},
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -189,6 +189,12 @@
 	}
 	// Idle machines, dearest first, unless they are a spare that the aims need.
 	need := c.spares(now)
+	reserved := -c.reserve()
+	for _, m := range hosts {
+		if !m.returning && m.confirmed {
+			reserved += c.serves(m.kind, m.zone, m.spot)
+		}
+	}
 	sort.SliceStable(hosts, func(a, b int) bool { return c.price(hosts[a]) > c.price(hosts[b]) })
 	for _, m := range hosts {
 		// Keeping a machine is worth as much as booting another one would cost.
@@ -199,6 +205,11 @@
 		if c.wanted(m, need) {
 			continue
 		}
+		if x := c.serves(m.kind, m.zone, m.spot); x > 0 && reserved < x {
+			continue
+		} else {
+			reserved -= x
+		}
 		back(m, "idle")
 	}
 	return out
@@ -252,7 +263,12 @@
 		// Poisson arrivals during a boot, less what finishes meanwhile is left
 		// to chance: the mean plus one deviation.
 		n := cl.perSecond(now) * (boot + 10)
-		slots := int(math.Round((n + math.Sqrt(n)) * *c.set.Operator.SpareFactor * 0.5))
+		slots := int(math.Round((n + math.Sqrt(n)) * *c.set.Operator.SpareFactor))
+		for _, m := range c.machines {
+			if slots > 0 && c.usable(m) && c.clearable(cl.sample, m) {
+				slots-- // evicting makes that room
+			}
+		}
 		if slots > 0 {
 			out = append(out, demand{cl.sample, slots})
 		}
@@ -261,6 +277,54 @@
 	return out
 }
 
+// clearable says whether evicting lower priorities would make room on the
+// machine for a task of the job.
+func (c *Core) clearable(j *job, m *machine) bool {
+	if !allowed(j, m) || slots(j, m.kind, 0, 0, 0) == 0 {
+		return false
+	}
+	cpus, gpus, mem, any := m.cpus, m.gpus, m.mem, false
+	m.each(func(p *placement) {
+		if p.job.rank < j.rank {
+			any = true
+			cpus -= p.job.spec.CPUs
+			gpus -= p.job.spec.GPUs
+			mem -= p.job.spec.MemoryGB
+		}
+	})
+	return any && slots(j, m.kind, cpus, gpus, mem) > 0
+}
+
+// reserve is the room in CPUs that the guarantees call for while there is work:
+// what is guaranteed has to be there when it is asked for, since a boot takes
+// longer than such work may wait.
+func (c *Core) reserve() float64 {
+	if len(c.jobs) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, t := range c.set.Deployment.Teams {
+		sum += t.CPUs
+	}
+	return sum * *c.set.Operator.ReserveFactor
+}
+
+// serves is how many CPUs of the machine the classes seen can use: the least
+// over those that fit, as its room may be cut badly.
+func (c *Core) serves(t *wire.MachineType, zone string, spot bool) float64 {
+	least := 0.0
+	for _, cl := range c.classes {
+		j := cl.sample
+		if j == nil || (spot && !j.spec.Spot) || !fitsType(&j.spec, t) || (j.spec.Zone != nil && *j.spec.Zone != zone) {
+			continue
+		}
+		if x := float64(slots(j, t, 0, 0, 0)) * j.spec.CPUs; least == 0 || x < least {
+			least = x
+		}
+	}
+	return least
+}
+
 // slots is how many tasks of the job the machine could still take.
 func slots(j *job, t *wire.MachineType, cpus, gpus, mem float64) int {
 	n := math.Inf(1)
@@ -272,6 +336,23 @@
 	return max(0, int(min(n, 1000)))
 }
 
+// heaviest is a job of the class that brings most work in teams with guarantees.
+func (c *Core) heaviest(now Micros) *job {
+	var best *job
+	most := 0.0
+	for _, cl := range c.classes {
+		j := cl.sample
+		if j == nil || j.spec.Shape == wire.Service || j.team.CPUs == 0 {
+			continue
+		}
+		w := cl.perSecond(now) * j.spec.CPUs * j.spec.EstimateS
+		if w > most || (w == most && best != nil && j.id < best.id) {
+			best, most = j, w
+		}
+	}
+	return best
+}
+
 // wanted says whether an idle machine is part of the spare room, and takes it
 // off the need if so.
 func (c *Core) wanted(m *machine, need []demand) bool {
@@ -340,6 +421,20 @@
 		need = append(need, demand{j, min(n, 2000)})
 	}
 	need = append(need, c.spares(now)...)
+	if short := c.reserve(); short > 0 {
+		for _, b := range bins {
+			short -= c.serves(b.kind, b.zone, b.spot)
+		}
+		if j := c.heaviest(now); j != nil && short >= j.spec.CPUs {
+			used := 0 // beyond what waits and the spare room
+			for _, d := range need {
+				used += d.slots
+			}
+			if k := int(short / j.spec.CPUs); k > used {
+				need = append(need, demand{j, k - used})
+			}
+		}
+	}
 	count := map[string]*wire.Hire{}
 	var order, full []string
 	for _, d := range need {
