--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -296,16 +296,58 @@
 	if reigning == 0 || r.Token > reigning {
 		return a, false
 	}
+	var fresh chan []wire.Order
 	done := n.do(ctx, func() {
 		if n.reign == nil || ctx.Err() != nil {
 			return
 		}
 		a, ok = n.reign.core.Report(r, n.now()), true
 		n.dirty = true
+		if n.reign.core.Hungry(r.Host) && len(n.reign.waiters) < maxWaiters {
+			fresh = make(chan []wire.Order, 1)
+			n.reign.waiters = append(n.reign.waiters, waiter{r.Host, n.reign.passes, fresh})
+		}
 	})
-	return a, ok && done
+	if !ok || !done {
+		return a, false
+	}
+	if fresh != nil {
+		// The machine has room and something waits: the launches that are being
+		// stored right now go with this answer instead of the next one, a
+		// report interval later.
+		t := time.NewTimer(launchWait)
+		defer t.Stop()
+		select {
+		case launches := <-fresh:
+			kept := a.Orders[:0]
+			for _, o := range a.Orders {
+				if o.Op != wire.Launch {
+					kept = append(kept, o)
+				}
+			}
+			a.Orders = append(kept, launches...)
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		if _, _, reigning := n.view(); reigning != a.Token {
+			return a, false
+		}
+	}
+	return a, true
 }
 
+// waiter is a report whose answer waits a moment for launches.
+type waiter struct {
+	host   string
+	passes int
+	fresh  chan<- []wire.Order
+}
+
+const (
+	launchWait = 250 * time.Millisecond
+	maxWaiters = 256
+)
+
 // Report implements api.Service: the overseer answers itself, other nodes relay
 // to it, so that no worker has to find it.
 func (n *Node) Report(ctx context.Context, r *wire.Report) (wire.ReportAnswer, error) {
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -26,6 +26,8 @@
 	cancel context.CancelFunc
 
 	// Owned by the owner goroutine.
+	waiters      []waiter
+	passes       int // scheduling passes so far
 	busyCommit   bool
 	busyProgress bool
 	busyTidy     bool
@@ -312,14 +314,30 @@
 func (r *reign) pass() {
 	n := r.n
 	if !r.busyCommit && n.state.Reachable(3*time.Second) {
+		r.passes++
 		if cm := r.core.Schedule(n.now()); cm != nil {
 			r.busyCommit = true
 			go r.commit(cm)
 		}
 	}
+	r.serveWaiters()
 	r.effects()
 }
 
+// serveWaiters answers the reports that waited for launches: those whose
+// machines a pass has considered and whose launches are stored.
+func (r *reign) serveWaiters() {
+	kept := r.waiters[:0]
+	for _, w := range r.waiters {
+		if r.passes > w.passes && !r.core.InFlight(w.host) {
+			w.fresh <- r.core.Launches(w.host)
+		} else if r.passes < w.passes+4 {
+			kept = append(kept, w)
+		}
+	}
+	r.waiters = kept
+}
+
 func (r *reign) effects() {
 	for _, d := range r.core.Directs() {
 		select {
@@ -428,6 +446,7 @@
 		} else {
 			r.core.Refused(cm, n.now())
 		}
+		r.serveWaiters()
 		n.dirty = true
 	})
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -344,3 +344,40 @@
 		}
 	})
 }
+
+// Hungry says whether a machine that has just reported has room for something
+// that waits.
+func (c *Core) Hungry(host string) bool {
+	m := c.machines[host]
+	if m == nil || !c.usable(m) || m.lastHello != c.now {
+		return false
+	}
+	for _, j := range c.jobs {
+		if j.pending() > 0 && c.now >= j.notBefore && allowed(j, m) && room(j, m, 1) {
+			return true
+		}
+	}
+	return c.InFlight(host)
+}
+
+// InFlight says whether launches for the machine are being stored.
+func (c *Core) InFlight(host string) bool {
+	if c.commit == nil {
+		return false
+	}
+	for _, h := range c.commit.Hosts {
+		if h.Host == host {
+			return true
+		}
+	}
+	return false
+}
+
+// Launches returns the launches that the machine's worker should get now.
+func (c *Core) Launches(host string) []wire.Order {
+	var a wire.ReportAnswer
+	if m := c.machines[host]; m != nil && m.confirmed && !m.returning {
+		c.launches(m, &a)
+	}
+	return a.Orders
+}
