--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,149 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"testing"
+
+	"dalefront/wire"
+)
+
+// fake answers as told and records what was submitted.
+type fake struct {
+	err  error
+	jobs []*wire.Job
+}
+
+func (f *fake) Submit(_ context.Context, j *wire.Job) (wire.JobStatus, bool, error) {
+	f.jobs = append(f.jobs, j)
+	return wire.JobStatus{ID: j.ID, Status: wire.JobQueued}, len(f.jobs) == 1, f.err
+}
+func (f *fake) Status(_ context.Context, id string) (wire.JobStatus, error) {
+	return wire.JobStatus{ID: id, Status: wire.JobRunning}, f.err
+}
+func (f *fake) Cancel(_ context.Context, id string) (wire.JobStatus, error) {
+	return wire.JobStatus{ID: id, Status: wire.JobCancelled}, f.err
+}
+func (f *fake) Report(context.Context, *wire.Report) (wire.ReportAnswer, error) {
+	return wire.ReportAnswer{Token: 7}, f.err
+}
+func (f *fake) Healthy() bool { return f.err == nil }
+
+func serve(t *testing.T, f *fake) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := NewServer(Handler(f), 100)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return "http://" + l.Addr().String()
+}
+
+func send(t *testing.T, method, url string, body []byte) (*http.Response, []byte) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, b
+}
+
+func job() map[string]any {
+	return map[string]any{"Id": "j-000001", "Jobclass": "c", "Owner": "t", "Shape": "sweep", "Urgency": "low", "Pieces": 3,
+		"Cores": 1.0, "Gpus": 0.0, "RamGb": 1.0, "Bundle": "i", "SizeGb": 1.0, "Builds": nil, "SamePlace": false,
+		"Spread": false, "Loaners": true, "ExpectedS": 1.0, "SnapshotEveryS": 0.0, "SnapshotS": 0.0, "Extra": []int{1}}
+}
+
+// Malformed submissions get 400 over a real socket, good ones 201, then 200.
+func TestSubmit(t *testing.T) {
+	f := &fake{}
+	url := serve(t, f) + wire.PathJobs
+	bad := map[string]func(m map[string]any){
+		"negative":     func(m map[string]any) { m["Cores"] = -1.0 },
+		"not a number": func(m map[string]any) { m["RamGb"] = math.NaN() },
+		"infinite":     func(m map[string]any) { m["SizeGb"] = math.Inf(1) },
+		"no tasks":     func(m map[string]any) { m["Pieces"] = 0 },
+		"too many":     func(m map[string]any) { m["Pieces"] = 100_001 },
+		"half a task":  func(m map[string]any) { m["Pieces"] = 1.5 },
+		"id":           func(m map[string]any) { m["Id"] = "k-1" },
+		"shape":        func(m map[string]any) { m["Shape"] = "cube" },
+		"urgency":      func(m map[string]any) { m["Urgency"] = "now" },
+		"missing":      func(m map[string]any) { delete(m, "Loaners") },
+		"wrong type":   func(m map[string]any) { m["Spread"] = "yes" },
+		"types":        func(m map[string]any) { m["Builds"] = []int{3} },
+		"deadline":     func(m map[string]any) { m["DueS"] = "soon" },
+		"too long":     func(m map[string]any) { m["Extra"] = string(make([]byte, wire.MaxBody)) },
+	}
+	for name, spoil := range bad {
+		m := job()
+		spoil(m)
+		b, _ := wire.Marshal(m)
+		if resp, _ := send(t, http.MethodPost, url, b); resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("%s: got %d", name, resp.StatusCode)
+		}
+	}
+	for _, b := range [][]byte{nil, []byte("hello"), {0x93, 1, 2, 3}, {0xc0}, {0x81, 0x01, 0x01}} {
+		if resp, _ := send(t, http.MethodPost, url, b); resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("body %x: got %d", b, resp.StatusCode)
+		}
+	}
+	if len(f.jobs) > 0 {
+		t.Fatalf("a malformed job went through: %+v", f.jobs[0])
+	}
+	b, _ := wire.Marshal(job())
+	for _, want := range []int{http.StatusCreated, http.StatusOK} {
+		if resp, _ := send(t, http.MethodPost, url, b); resp.StatusCode != want {
+			t.Errorf("got %d, want %d", resp.StatusCode, want)
+		}
+	}
+}
+
+// Every refusal has its status, and those that may be asked again say when.
+func TestStatuses(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		code int
+	}{
+		{ErrNotNow, 503}, {ErrUnknown, 404}, {fmt.Errorf("%w: x", ErrNever), 422}, {ErrOverload, 429}, {nil, 200},
+	} {
+		url := serve(t, &fake{err: c.err})
+		resp, _ := send(t, http.MethodGet, url+wire.PathJobs+"/j-1", nil)
+		if resp.StatusCode != c.code {
+			t.Errorf("%v: got %d", c.err, resp.StatusCode)
+		}
+		if again := resp.Header.Get("Retry-After") != ""; again != (c.code == 503 || c.code == 429) {
+			t.Errorf("%v: Retry-After is %q", c.err, resp.Header.Get("Retry-After"))
+		}
+	}
+	url := serve(t, &fake{err: ErrElse})
+	rep, _ := wire.Marshal(wire.Report{Host: "n-1"})
+	for _, c := range []struct {
+		method, path string
+		body         []byte
+		code         int
+	}{
+		{http.MethodPost, wire.PathReport, rep, 421}, {http.MethodGet, "/nowhere", nil, 404},
+		{http.MethodDelete, wire.PathJobs, nil, 405}, {http.MethodGet, wire.PathReport, nil, 405},
+		{http.MethodGet, wire.PathHealth, nil, 503}, {http.MethodGet, wire.PathJobs + "/x", nil, 404},
+	} {
+		if resp, _ := send(t, c.method, url+c.path, c.body); resp.StatusCode != c.code {
+			t.Errorf("%s %s: got %d, want %d", c.method, c.path, resp.StatusCode, c.code)
+		}
+	}
+}
