--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -163,12 +163,13 @@
 	return Micros(j.spec.EstimateS * j.class.ratio * float64(second))
 }
 
-// start is when a task of the job should start at the latest, as far as the
-// aims say.
-func (j *job) start() Micros {
+// start is when the job should start at the latest, as far as the aims say. An
+// aim that is missed already asks for nothing any more: it must not go before
+// others that can still be met.
+func (j *job) start(now Micros) Micros {
 	s := j.due - j.estimate()
-	if j.class.wait > 0 {
-		s = min(s, j.arrival+j.class.wait)
+	if by := j.arrival + j.class.wait; j.class.wait > 0 && now <= by {
+		s = min(s, by)
 	}
 	return s
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -185,6 +185,9 @@
 	if j.rank == v.rank && j.class.wait > 0 {
 		return true
 	}
+	if slack := j.due - j.estimate() - c.now; j.spec.DeadlineS != nil && (slack < 0 || slack > max(5*second, j.estimate()/2)) {
+		return false // there is time to wait for a cheaper machine, or no point
+	}
 	coming := v.rate * float64(j.estimate()) / float64(second)
 	return v.waiting == 0 && v.free-free >= coming+math.Sqrt(coming)
 }
@@ -203,10 +206,22 @@
 	}
 	type key struct {
 		within, late bool
+		start        Micros
+	}
+	cpus := 0.0
+	for _, m := range c.machines {
+		if c.usable(m) {
+			cpus += m.kind.CPUs
+		}
 	}
 	keys := make(map[*job]key, len(q))
 	for _, j := range q {
-		keys[j] = key{j.team.guarantees(j.spec.CPUs, j.spec.GPUs), c.now+j.estimate() > j.due}
+		// A large job needs the machines for a while: it has to start earlier to
+		// be done in time, but when not all can be, it stands for one job only,
+		// so it yields to as many small ones as that while would serve.
+		work := Micros(float64(j.pending()) * j.spec.CPUs * float64(j.estimate()) / max(cpus, 1))
+		start := j.start(c.now)
+		keys[j] = key{j.team.guarantees(j.spec.CPUs, j.spec.GPUs), c.now+work/2 > start, start + work}
 	}
 	sort.Slice(q, func(a, b int) bool {
 		x, y := q[a], q[b]
@@ -218,8 +233,8 @@
 			return kx.within
 		case kx.late != ky.late:
 			return !kx.late
-		case x.start() != y.start():
-			return x.start() < y.start()
+		case kx.start != ky.start:
+			return kx.start < ky.start
 		}
 		return x.id < y.id
 	})
