--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -186,8 +186,8 @@
 	if j.rank == v.rank && j.class.wait > 0 {
 		return true
 	}
-	if slack := j.due - j.estimate() - c.now; j.spec.DeadlineS != nil && (slack < 0 || slack > max(5*second, j.estimate()/2)) {
-		return false // there is time to wait for a cheaper machine, or no point
+	if c.now > j.due-j.estimate() && j.spec.DeadlineS != nil {
+		return false // too late anyway: it can wait for a cheaper machine
 	}
 	coming := v.rate * float64(j.estimate()) / float64(second)
 	return v.waiting == 0 && v.free-free >= coming+math.Sqrt(coming)
