--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -400,9 +400,15 @@
 		}
 		b := &bin{kind: m.kind, zone: m.zone, spot: m.spot, cpus: m.cpus, gpus: m.gpus, me: m.mem}
 		m.each(func(p *placement) {
-			if strange(p.job, m.kind) { // short guests don't count against its own tasks
+			switch {
+			case strange(p.job, m.kind): // short guests don't count against its own tasks
 				b.cpus -= p.job.spec.CPUs
 				b.me -= p.job.spec.MemoryGB
+			case c.endsWithin(p, config.Micro(0.8*m.kind.BootS)):
+				// Free again before another machine would be up.
+				b.cpus -= p.job.spec.CPUs
+				b.gpus -= p.job.spec.GPUs
+				b.me -= p.job.spec.MemoryGB
 			}
 		})
 		bins = append(bins, b)
@@ -505,6 +511,15 @@
 	return out
 }
 
+// endsWithin says whether a running task is expected to end within the time.
+func (c *Core) endsWithin(p *placement, t Micros) bool {
+	if p.running == 0 || p.job.spec.EstimateS == 0 {
+		return false
+	}
+	left := p.job.estimate() - (c.now - p.running)
+	return left > 0 && left < t
+}
+
 // strange says whether the job is a mere guest on machines of the type: it needs
 // none of their graphics, and no aim watches its start. Guests are no reason to
 // rent such machines, nor to rent more of them for the tasks they are for.
