--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -86,6 +86,7 @@
 	errorHosts map[string]bool
 	waitSince  Micros // since when something waits, 0 if nothing does
 	evictions  int
+	first      Micros // when a task was first seen running
 	savedRun   Micros // progress saved by stops, per task at most
 
 	// gang
