--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -168,18 +168,51 @@
 }
 
 // stop marks a placement to be stopped and sends the stop at once. A launch
-// that was never stored or sent simply isn't sent any more.
+// that was never stored or sent simply isn't sent any more. As in the paper's
+// resource manager, checkpoints of a machine queue, one at a time; kills don't
+// wait, and neither do gangs, whose tasks must be told together.
 func (c *Core) stop(p *placement, checkpoint bool) {
 	if p.stop && (checkpoint || !p.checkpoint) {
 		return
 	}
 	p.stop, p.checkpoint = true, checkpoint
+	p.queued = checkpoint && !p.job.gang() && p.m.saving(p)
+	if !p.queued {
+		c.tell(p)
+	}
+}
+
+// tell sends a stop straight to the worker; reports' answers repeat it.
+func (c *Core) tell(p *placement) {
 	p.stopSent = c.now
 	if p.seen && p.m.confirmed && p.m.addr != "" {
 		c.direct = append(c.direct, Direct{p.m.addr, wire.DirectOrders{Token: c.token, Session: p.m.session, Orders: []wire.Order{p.order()}}})
 	}
 }
 
+// saving says whether another checkpoint is under way on the machine.
+func (m *machine) saving(but *placement) bool {
+	busy := false
+	m.each(func(p *placement) {
+		busy = busy || (p != but && p.stop && p.checkpoint && !p.queued && !p.job.gang())
+	})
+	return busy
+}
+
+// nextCheckpoint starts the queued checkpoint that has waited longest.
+func (c *Core) nextCheckpoint(m *machine) {
+	var next *placement
+	m.each(func(p *placement) {
+		if p.queued && (next == nil || p.attempt < next.attempt) {
+			next = p
+		}
+	})
+	if next != nil && !m.saving(next) {
+		next.queued = false
+		c.tell(next)
+	}
+}
+
 // Directs returns the commands to be sent straight to workers.
 func (c *Core) Directs() []Direct {
 	d := c.direct
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -51,6 +51,7 @@
 
 	stop       bool   // to be stopped
 	checkpoint bool   // stop with enough grace to save
+	queued     bool   // its checkpoint waits for another one on the machine
 	stopSent   Micros // when the stop was first given
 	evictee    bool   // stopped to make room
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -245,7 +245,7 @@
 		if t.State != wire.TaskFetching {
 			c.cached(m, j)
 		}
-		if p.stop && !(p.checkpoint && t.State == wire.TaskSaving) {
+		if p.stop && !p.queued && !(p.checkpoint && t.State == wire.TaskSaving) {
 			a.Orders = append(a.Orders, p.order())
 		}
 	}
@@ -261,6 +261,7 @@
 			c.free(p)
 		}
 	})
+	c.nextCheckpoint(m)
 }
 
 // stray says whether a task found outside the books must go: its job is over,
--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,423 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
+
+// bed is a core with machines whose workers have confirmed the token.
+type bed struct {
+	*Core
+	t   *testing.T
+	seq uint64
+}
+
+func newBed(t *testing.T, teams ...config.Team) *bed {
+	t.Helper()
+	var set config.Settings
+	d := &set.Deployment
+	d.Teams = teams
+	d.Workers = config.Workers{ReportS: 1.5, LeaseS: 10, GangWaitS: 30, GangPeerS: 5, CancelS: 30}
+	d.State.TxnOps, d.State.ValueKB = 8, 16
+	d.Cloud.RPS, d.Cloud.ListLagS = 4, 5
+	f := func(x float64) *float64 { return &x }
+	n := 100
+	set.Operator = config.Operator{IdleReturnS: f(50), EvictAfterS: f(1), SpareFactor: f(1), ReserveFactor: f(1), MaxMachines: &n, TermS: f(3), CheckpointMBS: f(100)}
+	cat := wire.Catalog{Types: []wire.MachineType{
+		{Name: "s", CPUs: 8, MemoryGB: 64, FetchGBPS: 1, Price: 1, SpotPrice: 0.5, BootS: 20, Zones: []string{"x", "y"}},
+		{Name: "g", CPUs: 12, GPUs: 2, MemoryGB: 64, FetchGBPS: 1, Price: 8, SpotPrice: 4, BootS: 30, Zones: []string{"x", "y"}},
+	}}
+	return &bed{Core: New(&set, 7, 1000*second, cat, func(string, ...any) {}), t: t}
+}
+
+func (b *bed) report(host, typ, zone string, session uint64, tasks ...wire.TaskReport) wire.ReportAnswer {
+	b.seq++
+	return b.Report(&wire.Report{Host: host, Addr: host, Type: typ, Zone: zone, Session: session, Seq: b.seq, Token: 7, Tasks: tasks}, b.now)
+}
+
+// schedule runs a pass and stores its batch.
+func (b *bed) schedule() *Commit {
+	cm := b.Schedule(b.now)
+	if cm != nil {
+		b.Committed(cm, 100+b.seq, b.now)
+	}
+	return cm
+}
+
+func (b *bed) running(host string) (out []wire.TaskReport) {
+	b.machines[host].each(func(p *placement) {
+		out = append(out, wire.TaskReport{Task: wire.TaskName(p.job.id, p.task), Attempt: p.attempt, State: wire.TaskRunning})
+	})
+	return out
+}
+
+func spec(id, team, priority string, tasks int, cpus float64) wire.Job {
+	return wire.Job{ID: id, Class: "c" + id, Team: team, Shape: wire.Array, Priority: priority, Tasks: tasks, CPUs: cpus, MemoryGB: 1, Image: "i", ImageGB: 1, EstimateS: 60}
+}
+
+func ops(a wire.ReportAnswer, op string) (names []string) {
+	for _, o := range a.Orders {
+		if o.Op == op {
+			names = append(names, o.Task)
+		}
+	}
+	return names
+}
+
+// The paper's rule: a victim whose progress exceeds dump, restore and queue time
+// is checkpointed, another one is killed; the cheaper one to dump goes first.
+func TestCheckpointOrKill(t *testing.T) {
+	for _, c := range []struct {
+		ran        Micros
+		checkpoint bool
+	}{{19 * second, false}, {21 * second, true}} { // 1 GB at 100 MB/s, out and back: 20 s
+		b := newBed(t, config.Team{Name: "a"})
+		b.report("n-1", "s", "x", 1)
+		low := spec("j-1", "a", wire.Low, 1, 8)
+		low.CheckpointEvery, low.SaveS = 5, 2
+		b.AddJob(low, b.now, b.now)
+		b.schedule()
+		b.report("n-1", "s", "x", 1, b.running("n-1")...)
+		b.AddJob(spec("j-2", "a", wire.High, 1, 8), b.now, b.now)
+		b.now += c.ran
+		a := b.report("n-1", "s", "x", 1, b.running("n-1")...)
+		if len(ops(a, wire.Stop)) > 0 {
+			t.Fatal("evicted before any pass")
+		}
+		b.schedule()
+		a = b.report("n-1", "s", "x", 1, b.running("n-1")...)
+		if len(a.Orders) != 1 || a.Orders[0].Op != wire.Stop {
+			t.Fatalf("after %d us: orders %+v, want one stop", c.ran, a.Orders)
+		}
+		if got := *a.Orders[0].GraceS >= low.SaveS; got != c.checkpoint {
+			t.Errorf("after %d us: grace %v, checkpoint should be %v", c.ran, *a.Orders[0].GraceS, c.checkpoint)
+		}
+	}
+}
+
+// Checkpoints of one machine queue, one at a time.
+func TestCheckpointsQueue(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.report("n-1", "s", "x", 1)
+	low := spec("j-1", "a", wire.Low, 4, 2)
+	low.CheckpointEvery, low.SaveS = 5, 2
+	b.AddJob(low, b.now, b.now)
+	b.schedule()
+	b.report("n-1", "s", "x", 1, b.running("n-1")...)
+	b.now += 200 * second
+	b.report("n-1", "s", "x", 1, b.running("n-1")...)
+	b.AddJob(spec("j-2", "a", wire.High, 1, 8), b.now, b.now)
+	b.now += 2 * second
+	b.report("n-1", "s", "x", 1, b.running("n-1")...)
+	b.schedule()
+	if b.Stats.Checkpoints != 4 {
+		t.Fatalf("%d checkpoints ordered, want 4", b.Stats.Checkpoints)
+	}
+	for left := 4; left > 0; left-- {
+		tasks := b.running("n-1")
+		a := b.report("n-1", "s", "x", 1, tasks...)
+		stops := ops(a, wire.Stop)
+		if len(stops) != 1 {
+			t.Fatalf("%d left: %d stops at a time", left, len(stops))
+		}
+		for i := range tasks {
+			if tasks[i].Task == stops[0] {
+				tasks[i].State, tasks[i].Cause, tasks[i].Saved = wire.TaskExited, wire.CauseStopped, true
+			}
+		}
+		b.now += 2 * second
+		b.report("n-1", "s", "x", 1, tasks...)
+	}
+	b.schedule()
+	if a := b.report("n-1", "s", "x", 1); len(ops(a, wire.Launch)) != 1 {
+		t.Errorf("the room made was not given to its claimant: %+v", a.Orders)
+	}
+}
+
+// Preemption as the protocol allows it, and nothing beyond.
+func TestWhoMayEvict(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		victim, by   string
+		victimTeam   string
+		evicts       bool
+		guaranteed   float64
+		victimsShare float64
+	}{
+		{"lower priority", wire.Low, wire.Normal, "b", true, 0, 0},
+		{"equal priority", wire.Normal, wire.Normal, "b", false, 0, 0},
+		{"higher priority", wire.High, wire.Normal, "b", false, 0, 0},
+		{"borrowed by another team", wire.High, wire.Low, "b", true, 8, 4},
+		{"within the other's guarantee", wire.High, wire.Low, "b", false, 8, 8},
+		{"same team", wire.High, wire.Low, "a", false, 8, 0},
+	} {
+		b := newBed(t, config.Team{Name: "a", CPUs: c.guaranteed}, config.Team{Name: "b", CPUs: c.victimsShare})
+		b.report("n-1", "s", "x", 1)
+		b.AddJob(spec("j-1", c.victimTeam, c.victim, 1, 8), b.now, b.now)
+		b.schedule()
+		b.report("n-1", "s", "x", 1, b.running("n-1")...)
+		b.AddJob(spec("j-2", "a", c.by, 1, 8), b.now, b.now)
+		b.now += 2 * second
+		b.report("n-1", "s", "x", 1, b.running("n-1")...)
+		b.schedule()
+		if got := b.Stats.Evictions > 0; got != c.evicts {
+			t.Errorf("%s: evicted %v, want %v", c.name, got, c.evicts)
+		}
+	}
+}
+
+// Soft point: in a burst, fresh tasks are not killed over and over.
+func TestFreshTasksAreSpared(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.report("n-1", "s", "x", 1)
+	b.AddJob(spec("j-1", "a", wire.Low, 1, 8), b.now, b.now)
+	for i := 0; i < 10; i++ {
+		id := wire.TaskName("j-1", 0)
+		b.now += 2 * second
+		b.report("n-1", "s", "x", 1)
+		b.schedule() // the victim's turn
+		b.report("n-1", "s", "x", 1, b.running("n-1")...)
+		b.AddJob(spec("j-9"+string(rune('0'+i)), "a", wire.High, 1, 8), b.now, b.now)
+		b.now += 2 * second
+		b.report("n-1", "s", "x", 1, b.running("n-1")...)
+		b.schedule()
+		for _, tr := range b.running("n-1") {
+			if tr.Task == id && b.jobs["j-1"].evictions <= maxEvictions {
+				tr.State, tr.Cause = wire.TaskExited, wire.CauseStopped
+				b.report("n-1", "s", "x", 1, tr)
+			}
+		}
+		b.Ended("j-9"+string(rune('0'+i)), wire.JobCancelled, b.now, b.now)
+	}
+	if n := b.jobs["j-1"].evictions; n == 0 || n > maxEvictions {
+		t.Errorf("evicted %d times, want 1 to %d", n, maxEvictions)
+	}
+}
+
+// Soft point: a guest's huge job clears only part of the machines at a time.
+func TestHugeJobClearsLittle(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	hosts := []string{"n-1", "n-2", "n-3", "n-4", "n-5", "n-6", "n-7", "n-8"}
+	for _, h := range hosts {
+		b.report(h, "s", "x", 1)
+	}
+	b.AddJob(spec("j-1", "a", wire.Low, 8, 8), b.now, b.now)
+	b.schedule()
+	b.AddJob(spec("j-2", "a", wire.Production, 1000, 8), b.now, b.now)
+	for i := 0; i < 4; i++ {
+		b.now += second
+		for _, h := range hosts {
+			b.report(h, "s", "x", 1, b.running(h)...)
+		}
+		b.schedule()
+	}
+	if n := b.Stats.Evictions; n == 0 || n > 2 {
+		t.Errorf("%d of 8 machines cleared at once, want 1 or 2", n)
+	}
+}
+
+// A gang is placed whole, in one zone if it asks for that, with one attempt
+// number; a task lost while it waits is replaced under the same number.
+func TestGang(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.report("n-1", "s", "x", 1)
+	b.report("n-2", "s", "y", 1)
+	g := spec("j-1", "a", wire.Normal, 2, 8)
+	g.Shape, g.OneZone = wire.Gang, true
+	b.AddJob(g, b.now, b.now)
+	if b.schedule() != nil {
+		t.Fatal("half a gang, or one over two zones, was placed")
+	}
+	b.report("n-3", "s", "y", 1)
+	if b.schedule() == nil {
+		t.Fatal("the gang was not placed")
+	}
+	attempt := b.jobs["j-1"].attempt
+	for p := range b.jobs["j-1"].placements {
+		if p.m.zone != "y" || p.attempt != attempt {
+			t.Errorf("placed on %s in %s with attempt %d", p.m.host, p.m.zone, p.attempt)
+		}
+	}
+	waiting := b.running("n-2")
+	waiting[0].State = wire.TaskWaiting
+	b.report("n-2", "s", "y", 1, waiting...)
+	b.report("n-3", "s", "y", 2) // its worker forgot everything
+	b.schedule()
+	a := b.report("n-3", "s", "y", 2)
+	if len(a.Orders) != 1 || a.Orders[0].Op != wire.Launch || a.Orders[0].Attempt != attempt {
+		t.Errorf("replacement: %+v, want a launch with attempt %d", a.Orders, attempt)
+	}
+}
+
+// The limit counts what may still run on a machine that can't be seen.
+func TestQuotaCountsUnseen(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a", CPUsMax: 8})
+	b.report("n-1", "s", "x", 1)
+	b.report("n-2", "s", "x", 1)
+	b.AddJob(spec("j-1", "a", wire.Normal, 2, 8), b.now, b.now)
+	b.schedule()
+	gone := "n-1"
+	if b.machines["n-1"].n == 0 {
+		gone = "n-2"
+	}
+	other := map[string]string{"n-1": "n-2", "n-2": "n-1"}[gone]
+	for i := 0; i < 9; i++ { // silent, but its lease may run
+		b.now += second
+		b.report(other, "s", "x", 1)
+		if b.schedule() != nil {
+			t.Fatal("placed beyond the limit")
+		}
+	}
+	b.now += 2 * second // now the lease has run out
+	b.report(other, "s", "x", 1)
+	if b.schedule() == nil {
+		t.Error("not placed again after the lease ran out")
+	}
+}
+
+// Time proves nothing about a worker that has not seen this term's token: an
+// older overseer may still renew its lease. Its machine is returned instead.
+func TestUnconfirmedWorker(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.AddJob(spec("j-1", "a", wire.Normal, 1, 8), b.now, b.now)
+	b.LoadMachine("n-1", Record{Addr: "n-1", Type: "s", Zone: "x", Session: 1, Tasks: []string{"j-1/0 5"}}, 3)
+	b.report("n-2", "s", "x", 1)
+	for i := 0; i < 40; i++ {
+		b.now += second
+		b.report("n-2", "s", "x", 1)
+		if b.schedule() != nil {
+			t.Fatalf("started a second copy after %d s without proof", i+1)
+		}
+	}
+	back := b.Returns(b.now, false)
+	if !slices.Contains(back, "n-1") {
+		t.Fatalf("returned %v, want n-1 among them", back)
+	}
+	b.ReturnFailed([]string{"n-2"}, b.now)
+	b.Gone([]string{"n-1"}, b.now)
+	if b.schedule() == nil {
+		t.Error("not placed after the return was confirmed")
+	}
+}
+
+// Reports that come late, and lists that lag, change nothing.
+func TestLateNews(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.report("n-1", "s", "x", 1)
+	b.AddJob(spec("j-1", "a", wire.Normal, 1, 8), b.now, b.now)
+	b.schedule()
+	run := b.running("n-1")
+	b.report("n-1", "s", "x", 1, run...)
+	late := &wire.Report{Host: "n-1", Type: "s", Zone: "x", Session: 1, Seq: 1, Token: 7}
+	if a := b.Report(late, b.now); len(a.Orders) > 0 || b.machines["n-1"].n != 1 {
+		t.Error("a late report removed a running task")
+	}
+	old := &wire.Report{Host: "n-1", Type: "s", Zone: "x", Session: 1, Seq: b.seq + 1, Token: 6}
+	if a := b.Report(old, b.now); len(a.Orders) > 0 || b.machines["n-1"].n != 1 {
+		t.Error("a report without this term's token removed a running task")
+	}
+	b.Gone([]string{"n-1"}, b.now)
+	b.Machines([]wire.Machine{{ID: "n-1", Type: "s", Zone: "x", State: wire.HostRunning}}, b.now)
+	if b.machines["n-1"] != nil {
+		t.Error("a lagging list brought a returned machine back")
+	}
+}
+
+// A result is cleared from a worker only once it is stored; a job's end waits
+// for all its tasks.
+func TestDoneIsStoredFirst(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.report("n-1", "s", "x", 1)
+	b.AddJob(spec("j-1", "a", wire.Normal, 2, 4), b.now, b.now)
+	b.schedule()
+	run := b.running("n-1")
+	run[0].State, run[0].Cause = wire.TaskExited, wire.CauseDone
+	if a := b.report("n-1", "s", "x", 1, run...); len(ops(a, wire.Clear)) > 0 {
+		t.Error("cleared before it was stored")
+	}
+	if len(b.Ends()) > 0 {
+		t.Error("ended after one of two tasks")
+	}
+	for _, ch := range b.Progress(10) {
+		b.ProgressStored(ch)
+	}
+	if a := b.report("n-1", "s", "x", 1, run...); len(ops(a, wire.Clear)) != 1 {
+		t.Error("not cleared after it was stored")
+	}
+	run[1].State, run[1].Cause = wire.TaskExited, wire.CauseDone
+	b.report("n-1", "s", "x", 1, run...)
+	if e := b.Ends(); len(e) != 1 {
+		t.Errorf("ends %v, want j-1", e)
+	}
+}
+
+// A job that fails everywhere waits longer and longer; a machine that fails
+// several jobs is returned.
+func TestFaults(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.AddJob(spec("j-1", "a", wire.Normal, 1, 8), b.now, b.now)
+	starts := 0
+	for i := 0; i < 600; i++ {
+		b.now += second / 2
+		for _, h := range []string{"n-1", "n-2", "n-3"} {
+			b.report(h, "s", "x", 1)
+			if b.machines[h].n > 0 {
+				starts++
+				run := b.running(h)
+				run[0].State, run[0].Cause = wire.TaskExited, wire.CauseError
+				b.report(h, "s", "x", 1, run...)
+			}
+		}
+		b.schedule()
+	}
+	if starts < 3 || starts > 20 {
+		t.Errorf("a faulty job was started %d times in 300 s", starts)
+	}
+	for i := 0; i < 2; i++ {
+		id := "j-7" + string(rune('0'+i))
+		b.AddJob(spec(id, "a", wire.Normal, 1, 8), b.now, b.now)
+		p := b.place(b.jobs[id], 0, b.machines["n-1"], uint64(900+i))
+		p.stored = true
+		b.report("n-1", "s", "x", 1, wire.TaskReport{Task: id + "/0", Attempt: uint64(900 + i), State: wire.TaskExited, Cause: wire.CauseError})
+	}
+	b.machines["n-1"].idleSince = b.now // not for idling
+	if back := b.Returns(b.now, false); !slices.Contains(back, "n-1") {
+		t.Errorf("returned %v, not n-1, which failed several jobs", back)
+	}
+}
+
+// 100,000 tasks fit the limits: few and small progress values, bounded records.
+func TestLargestJob(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	j := spec("j-1", "a", wire.Normal, 100_000, 0.001)
+	b.AddJob(j, b.now, b.now)
+	for i := int32(0); i < 100_000; i += 3 {
+		b.markDone(b.jobs["j-1"], i)
+	}
+	chunks := b.Progress(1000)
+	if len(chunks) != (100_000+ChunkTasks-1)/ChunkTasks {
+		t.Errorf("%d chunks", len(chunks))
+	}
+	c := newBed(t, config.Team{Name: "a"})
+	c.AddJob(j, c.now, c.now)
+	for _, ch := range chunks {
+		if len(ch.Text) > 1024 {
+			t.Errorf("chunk %d has %d bytes", ch.Index, len(ch.Text))
+		}
+		c.SetProgress(ch.Job, ch.Index, ch.Text)
+	}
+	if got, want := c.jobs["j-1"].doneCount, b.jobs["j-1"].doneCount; got != want {
+		t.Errorf("%d tasks done after loading, want %d", got, want)
+	}
+	b.report("n-1", "s", "x", 1)
+	cm := b.schedule()
+	if cm == nil || len(cm.Hosts) != 1 {
+		t.Fatal("nothing placed")
+	}
+	if v, _ := wire.Marshal(cm.Hosts[0].Record); len(v) > 16<<10 {
+		t.Errorf("a record of %d bytes", len(v))
+	}
+}
