--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -121,7 +121,7 @@
 	o.SpareFactor = or(o.SpareFactor, 1)
 	o.ReserveFactor = or(o.ReserveFactor, 1.25)
 	o.MaxMachines = or(o.MaxMachines, 1000)
-	o.TermS = or(o.TermS, 3)
+	o.TermS = or(o.TermS, 2)
 	o.CheckpointMBS = or(o.CheckpointMBS, 100)
 }
 
