--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -400,11 +400,7 @@
 		}
 		b := &bin{kind: m.kind, zone: m.zone, spot: m.spot, cpus: m.cpus, gpus: m.gpus, me: m.mem}
 		m.each(func(p *placement) {
-			switch {
-			case strange(p.job, m.kind): // short guests don't count against its own tasks
-				b.cpus -= p.job.spec.CPUs
-				b.me -= p.job.spec.MemoryGB
-			case c.endsWithin(p, config.Micro(0.8*m.kind.BootS)):
+			if c.endsWithin(p, config.Micro(0.8*m.kind.BootS)) && p.job.spec.GPUs > 0 {
 				// Free again before another machine would be up.
 				b.cpus -= p.job.spec.CPUs
 				b.gpus -= p.job.spec.GPUs
@@ -457,7 +453,7 @@
 			if left == 0 || (b.spot && !j.spec.Spot) || !fitsType(&j.spec, b.kind) || (j.spec.Zone != nil && *j.spec.Zone != b.zone) {
 				return
 			}
-			if b.kind.GPUs > 0 && j.spec.GPUs == 0 && (b.fresh || strange(j, b.kind)) {
+			if b.kind.GPUs > 0 && j.spec.GPUs == 0 && b.fresh {
 				return
 			}
 			k := min(left, slots(j, b.kind, b.cpus, b.gpus, b.me))
@@ -520,13 +516,6 @@
 	return left > 0 && left < t
 }
 
-// strange says whether the job is a mere guest on machines of the type: it needs
-// none of their graphics, and no aim watches its start. Guests are no reason to
-// rent such machines, nor to rent more of them for the tasks they are for.
-func strange(j *job, t *wire.MachineType) bool {
-	return t.GPUs > 0 && j.spec.GPUs == 0 && j.class.wait == 0
-}
-
 // perKind bounds one rental request, so that a round spreads over zones and
 // kinds instead of finding out one by one which are empty.
 const perKind = 6
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -168,9 +168,8 @@
 }
 
 // mayBlockGPUs says whether a task without graphics may go to a graphics
-// machine. It may while a graphics task runs there, as long as it leaves what the
-// free GPUs' own tasks need beside them; alone it would keep a machine from going
-// back that costs many times what it needs. Beyond that it may if it ranks higher or an aim watches its start, or if
+// machine. It may as long as it leaves what the free GPUs' own tasks need beside
+// them. Beyond that it may if it ranks higher or an aim watches its start, or if
 // enough GPUs stay free elsewhere for the graphics tasks that arrive during its
 // stay. Otherwise small tasks fill the processors of the graphics machines and
 // their GPUs, the dearest part, stand idle.
@@ -180,7 +179,7 @@
 		return true
 	}
 	free := m.kind.GPUs - m.gpus
-	if m.gpus > 0 && m.cpus+j.spec.CPUs+free*v.cpus <= m.kind.CPUs+eps && m.mem+j.spec.MemoryGB+free*v.mem <= m.kind.MemoryGB+eps {
+	if m.cpus+j.spec.CPUs+free*v.cpus <= m.kind.CPUs+eps && m.mem+j.spec.MemoryGB+free*v.mem <= m.kind.MemoryGB+eps {
 		return true
 	}
 	if j.rank == v.rank && j.class.wait > 0 {
