--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -83,9 +83,10 @@
 	reportLimit = 2500 * time.Millisecond
 )
 
-// Handler serves all paths.
-func Handler(s Service) http.Handler {
+// Handler serves all paths; metrics is what /metrics shows.
+func Handler(s Service, metrics http.Handler) http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metrics)
 	mux.HandleFunc("POST "+wire.PathJobs, func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), submitLimit)
 		defer cancel()
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := NewServer(Handler(f), 100)
+	srv := NewServer(Handler(f, http.NotFoundHandler()), 100)
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	return "http://" + l.Addr().String()
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"dalefront/internal/sched"
+)
+
+// snapshot is what the owner shows of the core; it sits behind the short lock.
+type snapshot struct {
+	stats        sched.Stats
+	jobs, tasks  int // that wait
+	machines, up int
+}
+
+// metrics serves the counters. Those of the core are zero on nodes that are not
+// the overseer.
+func (n *Node) metrics() http.Handler {
+	reg := prometheus.NewRegistry()
+	add := func(name, help string, read func(*snapshot) int) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: name, Help: help}, func() float64 {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return float64(read(&n.shown))
+		}))
+	}
+	add("waiting_jobs", "Jobs with tasks that wait for room.", func(s *snapshot) int { return s.jobs })
+	add("waiting_tasks", "Tasks that wait for room.", func(s *snapshot) int { return s.tasks })
+	add("machines", "Machines known to the overseer.", func(s *snapshot) int { return s.machines })
+	add("machines_up", "Machines whose workers have confirmed this term.", func(s *snapshot) int { return s.up })
+	add("launches", "Launches stored in this term.", func(s *snapshot) int { return s.stats.Launches })
+	add("evictions", "Tasks told to make way in this term.", func(s *snapshot) int { return s.stats.Evictions })
+	add("checkpoints", "Evictions that saved in this term.", func(s *snapshot) int { return s.stats.Checkpoints })
+	add("leases_lost", "Workers whose lease ran out in this term.", func(s *snapshot) int { return s.stats.LeasesLost })
+	add("task_errors", "Tasks that failed in this term.", func(s *snapshot) int { return s.stats.Errors })
+	add("machines_hired", "Machines rented in this term.", func(s *snapshot) int { return s.stats.Hired })
+	add("machines_returned", "Machines returned in this term.", func(s *snapshot) int { return s.stats.Returned })
+	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "overseer", Help: "1 while this node acts as overseer."}, func() float64 {
+		if _, _, reigning := n.view(); reigning != 0 {
+			return 1
+		}
+		return 0
+	}))
+	return promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
+}
+
+// show updates the snapshot. Owner goroutine.
+func (r *reign) show() {
+	var s snapshot
+	s.stats = r.core.Stats
+	s.jobs, s.tasks = r.core.Waiting()
+	s.machines, s.up = r.core.Fleet()
+	r.n.mu.Lock()
+	r.n.shown = s
+	r.n.mu.Unlock()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,7 @@
 	mu       sync.Mutex
 	leader   string // who holds the term, as far as known
 	token    uint64 // highest token known
+	shown    snapshot
 	gaveUp   uint64 // the last term that this node gave up by itself
 	reigning uint64 // this node's token while it acts, otherwise 0
 	catalog  *wire.Catalog
@@ -88,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	srv := api.NewServer(api.Handler(n), n.set.Deployment.Resources.Sockets)
+	srv := api.NewServer(api.Handler(n, n.metrics()), n.set.Deployment.Resources.Sockets)
 	rpc := peer.NewServer(n)
 	failed := make(chan error, 2)
 	go func() { failed <- srv.Serve(users) }()
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -126,6 +126,7 @@
 	if n.reigning == r.token {
 		n.reigning = 0
 	}
+	n.shown = snapshot{}
 	n.mu.Unlock()
 	r.cancel()
 }
@@ -391,6 +392,7 @@
 	if !r.busyCloud && now-r.lastCloud >= 1_000_000 {
 		r.lastCloud = now
 		r.fleet(blind)
+		r.show()
 	}
 	if now-r.lastLog > 10_000_000 {
 		r.lastLog = now
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -183,9 +183,14 @@
 		}
 		return st, false, err
 	}
+	rec := jobRecord{Job: *j, Arrival: n.now()}
+	if b, err := wire.Marshal(rec); err != nil || float64(len(b)) > 0.9*1024*n.set.Deployment.State.ValueKB {
+		// Sizes count in the longer text form; no sensible job comes near.
+		return wire.JobStatus{}, false, fmt.Errorf("%w: too large to be stored", wire.ErrMalformed)
+	}
 	_, err := n.state.Multi(ctx, wire.Txn{
 		If:   []wire.Cond{{Key: jobKey(j.ID)}, {Key: endKey(j.ID)}},
-		Then: []wire.Change{{Put: jobKey(j.ID), Value: jobRecord{Job: *j, Arrival: n.now()}}},
+		Then: []wire.Change{{Put: jobKey(j.ID), Value: rec}},
 	})
 	switch {
 	case err == nil:
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -215,6 +215,17 @@
 	return out
 }
 
+// Fleet counts the machines known and those whose workers have confirmed the
+// term.
+func (c *Core) Fleet() (known, up int) {
+	for _, m := range c.machines {
+		if m.confirmed {
+			up++
+		}
+	}
+	return len(c.machines), up
+}
+
 func (c *Core) sortedMachines() []*machine {
 	ms := make([]*machine, 0, len(c.machines))
 	for _, m := range c.machines {
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -252,7 +252,8 @@
 	failed    bool
 	bad       bool
 	errJobs   map[string]bool
-	avoid     Micros // place nothing before
+	avoid     Micros  // place nothing before
+	slow      float64 // how its tasks' run times compare with the usual, 1 is usual
 
 	tasks          map[taskKey][]*placement
 	n              int
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -103,6 +103,9 @@
 	if j.spec.Spot && !m.spot {
 		s += 2 // keep ordinary machines for those who may use no others
 	}
+	if m.slow > 2 {
+		s += 15 * (m.slow - 2) // well beyond wrong estimates
+	}
 	if m.kind.CPUs > 0 {
 		s += 4 * (m.kind.CPUs - m.cpus - j.spec.CPUs) / m.kind.CPUs // fill machines
 	}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -26,7 +26,7 @@
 		t = &wire.MachineType{Name: typ, Zones: []string{zone}} // not in the catalog: no room
 		c.types[typ] = t
 	}
-	m := &machine{host: host, addr: addr, kind: t, zone: zone, spot: spot, born: c.now, idleSince: c.now,
+	m := &machine{slow: 1, host: host, addr: addr, kind: t, zone: zone, spot: spot, born: c.now, idleSince: c.now,
 		tasks: map[taskKey][]*placement{}, images: map[string]Micros{}, fetchingImages: map[string]Micros{}, errJobs: map[string]bool{}}
 	c.machines[host] = m
 	return m
@@ -288,6 +288,9 @@
 	if t.Cause == wire.CauseDone {
 		if p != nil && p.running > 0 && j.spec.EstimateS > 0 && !j.isDone(num) {
 			actual := float64(c.now-p.running) / float64(second) / j.spec.EstimateS
+			// A faulty machine can be much slower than others of its type: compare
+			// with what the class usually takes, and forget slowly.
+			m.slow += 0.3 * (min(max(actual/j.class.ratio, 0.2), 6) - m.slow)
 			j.class.ratio += 0.1 * (min(max(actual, 0.2), 5) - j.class.ratio)
 		}
 		if !j.isDone(num) {
--- /dev/null
+++ b/internal/sim/node_test.go
@@ -0,0 +1,232 @@
+package sim
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"dalefront/internal/config"
+	"dalefront/internal/node"
+	"dalefront/wire"
+)
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// cluster is real nodes on loopback against the played services.
+type cluster struct {
+	t     *testing.T
+	svc   *Services
+	addrs []string
+	stop  []context.CancelFunc
+	tasks map[string]wire.TaskReport // of the one worker
+	token uint64
+	seq   uint64
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, svc: NewServices(world(t, 1).Catalog), tasks: map[string]wire.TaskReport{}}
+	srv := httptest.NewServer(c.svc)
+	t.Cleanup(srv.Close)
+	addr := strings.TrimPrefix(srv.URL, "http://")
+	var mesh []string
+	for i := 0; i < size; i++ {
+		c.addrs, mesh = append(c.addrs, freeAddr(t)), append(mesh, freeAddr(t))
+	}
+	for i := range c.addrs {
+		set, err := config.Parse([]byte(settings))
+		if err != nil {
+			t.Fatal(err)
+		}
+		set.Label, set.ServeOn, set.MeshAddr = fmt.Sprint("node-", i), c.addrs[i], mesh[i]
+		set.Endpoints.State, set.Endpoints.Cloud = addr, addr
+		set.Deployment.State.RPS, set.Deployment.State.WriteRPS = 1000, 1000
+		for k := range mesh {
+			if k != i {
+				set.Members = append(set.Members, config.Member{Label: fmt.Sprint("node-", k), Addr: mesh[k]})
+			}
+		}
+		n, err := node.New(set, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		c.stop = append(c.stop, cancel)
+		done := make(chan struct{})
+		go func() { _ = n.Run(ctx); close(done) }()
+		t.Cleanup(func() { cancel(); <-done })
+	}
+	return c
+}
+
+func (c *cluster) ask(i int, method, path string, in, out any) (int, http.Header) {
+	b, _ := wire.Marshal(in)
+	req, err := http.NewRequest(method, "http://"+c.addrs[i]+path, bytes.NewReader(b))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	if out != nil && resp.StatusCode < 300 {
+		if err := wire.Unmarshal(body, out); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	return resp.StatusCode, resp.Header
+}
+
+// report sends the worker's report to a node and carries out its orders.
+func (c *cluster) report(i int) int {
+	c.seq++
+	r := wire.Report{Host: "n-1", Addr: "127.0.0.1:9", Type: "s", Zone: "x", Session: 1, Seq: c.seq, Token: c.token}
+	for _, t := range c.tasks {
+		r.Tasks = append(r.Tasks, t)
+	}
+	var a wire.ReportAnswer
+	code, _ := c.ask(i, http.MethodPost, wire.PathReport, r, &a)
+	if code != 200 || a.Token < c.token {
+		return code
+	}
+	c.token = a.Token
+	for _, o := range a.Orders {
+		switch o.Op {
+		case wire.Launch:
+			c.tasks[o.Task] = wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskRunning}
+		case wire.Stop:
+			c.tasks[o.Task] = wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskExited, Cause: wire.CauseStopped}
+		case wire.Clear:
+			delete(c.tasks, o.Task)
+		}
+	}
+	return code
+}
+
+// until repeats f until it holds; the limit only ends a test that hangs.
+func (c *cluster) until(what string, f func() bool) {
+	c.t.Helper()
+	for i := 0; i < 1500; i++ {
+		if f() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.t.Fatal("never happened: ", what)
+}
+
+func (c *cluster) submission(id string, tasks int) map[string]any {
+	return map[string]any{"Id": id, "Jobclass": "c", "Owner": "red", "Shape": "sweep", "Urgency": "low", "Pieces": tasks,
+		"Cores": 1.0, "Gpus": 0.0, "RamGb": 1.0, "Bundle": "i", "SizeGb": 1.0, "SamePlace": false,
+		"Spread": false, "Loaners": true, "ExpectedS": 1.0, "SnapshotEveryS": 0.0, "SnapshotS": 0.0}
+}
+
+// TestNodes runs three nodes: any of them takes jobs, reports and questions; a
+// job survives its overseer; what is over stays over; an outage of the state
+// service is answered at once and survived.
+func TestNodes(t *testing.T) {
+	c := newCluster(t, 3)
+	var st wire.JobStatus
+	for i := range c.addrs {
+		c.until("healthy", func() bool { code, _ := c.ask(i, http.MethodGet, wire.PathHealth, nil, nil); return code == 200 })
+		if code, _ := c.ask(i, http.MethodGet, wire.PathJobs+"/j-404", nil, nil); code != 404 {
+			t.Errorf("node %d: a job that nobody submitted got %d", i, code)
+		}
+	}
+	c.svc.Mute(1) // the first try may be executed without an answer
+	c.until("accepted", func() bool {
+		code, _ := c.ask(1, http.MethodPost, wire.PathJobs, c.submission("j-1", 2), &st)
+		return code == 200 || code == 201
+	})
+	if code, _ := c.ask(2, http.MethodPost, wire.PathJobs, c.submission("j-1", 2), &st); code != 200 {
+		t.Errorf("a repeated submission got %d", code)
+	}
+	c.until("both tasks run", func() bool { c.report(2); return len(c.tasks) == 2 })
+
+	c.svc.SetDown(true)
+	code, h := c.ask(0, http.MethodPost, wire.PathJobs, c.submission("j-2", 1), nil)
+	if code != 503 || h.Get("Retry-After") == "" {
+		t.Errorf("in an outage a submission got %d, Retry-After %q", code, h.Get("Retry-After"))
+	}
+	if code := c.report(2); code != 200 {
+		t.Errorf("in an outage a report got %d: the lease is not renewed", code)
+	}
+	if len(c.tasks) != 2 {
+		t.Errorf("in an outage the tasks changed: %v", c.tasks)
+	}
+	c.svc.SetDown(false)
+
+	before := c.token
+	for i := range c.addrs { // end the overseer: the node that shows itself as such
+		resp, err := http.Get("http://" + c.addrs[i] + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if strings.Contains(string(body), "\ndalefront_overseer 1\n") {
+			c.stop[i]()
+			c.addrs = append(c.addrs[:i], c.addrs[i+1:]...)
+			break
+		}
+	}
+	if len(c.addrs) != 2 {
+		t.Fatal("no node showed itself as overseer")
+	}
+	c.until("another overseer", func() bool { c.report(0); return c.token > before })
+	for i := 0; i < 3; i++ {
+		c.report(1)
+	}
+	if len(c.tasks) != 2 {
+		t.Fatalf("the tasks did not survive the takeover: %v", c.tasks)
+	}
+	for k, tr := range c.tasks {
+		tr.State, tr.Cause = wire.TaskExited, wire.CauseDone
+		c.tasks[k] = tr
+	}
+	c.until("done on both nodes", func() bool {
+		c.report(0)
+		for i := range c.addrs {
+			if code, _ := c.ask(i, http.MethodGet, wire.PathJobs+"/j-1", nil, &st); code != 200 || st.Status != wire.JobDone {
+				return false
+			}
+		}
+		return true
+	})
+	c.until("results are cleared", func() bool { c.report(0); return len(c.tasks) == 0 })
+	if code, _ := c.ask(1, http.MethodPost, wire.PathJobs+"/j-1/"+wire.CancelVerb, nil, &st); code != 200 || st.Status != wire.JobDone {
+		t.Errorf("cancelling a job that is done: %d %s", code, st.Status)
+	}
+
+	c.until("another job is accepted", func() bool {
+		code, _ := c.ask(0, http.MethodPost, wire.PathJobs, c.submission("j-3", 1), &st)
+		return code == 200 || code == 201
+	})
+	c.until("it runs", func() bool { c.report(1); return len(c.tasks) == 1 })
+	c.until("it is cancelled", func() bool {
+		code, _ := c.ask(1, http.MethodPost, wire.PathJobs+"/j-3/"+wire.CancelVerb, nil, &st)
+		return code == 200 && st.Status == wire.JobCancelled
+	})
+	c.until("its task is gone", func() bool { c.report(0); return len(c.tasks) == 0 })
+	if code, _ := c.ask(0, http.MethodGet, wire.PathJobs+"/j-3", nil, &st); code != 200 || st.Status != wire.JobCancelled {
+		t.Errorf("a cancelled job is shown as %d %s", code, st.Status)
+	}
+}
--- /dev/null
+++ b/internal/sim/services.go
@@ -0,0 +1,255 @@
+package sim
+
+import (
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"dalefront/wire"
+)
+
+// Services plays the state service and the cloud over HTTP. Down makes the
+// state service refuse everything; Mute lets it execute transactions without
+// answering them.
+type Services struct {
+	Catalog wire.Catalog
+
+	mu       sync.Mutex
+	revision uint64
+	keys     map[string]wire.Entry
+	holds    map[uint64]time.Time
+	ttl      map[uint64]time.Duration
+	lease    uint64
+	changed  chan struct{}
+	events   []wire.Event
+	down     bool
+	mute     int
+}
+
+// NewServices returns empty services.
+func NewServices(cat wire.Catalog) *Services {
+	return &Services{Catalog: cat, keys: map[string]wire.Entry{}, holds: map[uint64]time.Time{}, ttl: map[uint64]time.Duration{}, changed: make(chan struct{})}
+}
+
+// SetDown begins or ends an outage of the state service.
+func (s *Services) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	for id, ttl := range s.ttl { // after an outage every lease has its full time again
+		s.holds[id] = time.Now().Add(ttl)
+	}
+}
+
+// Mute executes the next n transactions without answering them.
+func (s *Services) Mute(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute = n
+}
+
+func respond(w http.ResponseWriter, code int, v any) {
+	b, _ := wire.Marshal(v)
+	w.WriteHeader(code)
+	_, _ = w.Write(b)
+}
+
+func read(r *http.Request, v any) bool {
+	b, err := io.ReadAll(r.Body)
+	return err == nil && wire.Unmarshal(b, v) == nil
+}
+
+// expire removes the keys of holds that ended. The lock is held.
+func (s *Services) expire() {
+	if s.down {
+		return
+	}
+	for id, at := range s.holds {
+		if time.Now().After(at) {
+			s.release(id)
+		}
+	}
+}
+
+func (s *Services) release(id uint64) {
+	delete(s.holds, id)
+	delete(s.ttl, id)
+	for k, e := range s.keys {
+		if e.Lease == id {
+			s.revision++
+			s.drop(k)
+		}
+	}
+}
+
+func (s *Services) drop(k string) {
+	delete(s.keys, k)
+	s.emit(wire.Event{Delete: k, Version: s.revision})
+}
+
+func (s *Services) emit(e wire.Event) {
+	s.events = append(s.events, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP serves both services.
+func (s *Services) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	p := r.URL.Path
+	switch {
+	case p == wire.PathCatalog:
+		respond(w, 200, s.Catalog)
+	case p == wire.PathRentals && r.Method == http.MethodGet:
+		respond(w, 200, wire.Machines{})
+	case p == wire.PathRentals:
+		respond(w, 503, wire.Error{Error: "no capacity"})
+	case p == wire.PathReturn:
+		respond(w, 200, wire.Hosts{})
+	case s.down && p == "/changes": // open watches stay open
+		s.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+		s.mu.Lock()
+		respond(w, 503, wire.Error{Error: "trouble"})
+	case s.down:
+		respond(w, 503, wire.Error{Error: "trouble"})
+	case p == "/holds":
+		var l wire.Lease
+		if !read(r, &l) {
+			respond(w, 400, nil)
+			return
+		}
+		s.lease++
+		s.ttl[s.lease] = time.Duration(l.TTLMs) * time.Millisecond
+		s.holds[s.lease] = time.Now().Add(s.ttl[s.lease])
+		respond(w, 200, wire.Lease{ID: s.lease})
+	case strings.HasPrefix(p, "/holds/"):
+		num, _, _ := strings.Cut(strings.TrimPrefix(p, "/holds/"), "/")
+		id, _ := strconv.ParseUint(num, 10, 64)
+		if _, ok := s.holds[id]; !ok {
+			respond(w, 404, nil)
+			return
+		}
+		if r.Method == http.MethodDelete {
+			s.release(id)
+		} else {
+			s.holds[id] = time.Now().Add(s.ttl[id])
+		}
+		respond(w, 200, nil)
+	case p == "/multi":
+		s.multi(w, r)
+	case p == "/changes":
+		s.watch(w, r)
+	case p == "/kv":
+		out := wire.Entries{Revision: s.revision}
+		for k, e := range s.keys {
+			if strings.HasPrefix(k, r.URL.Query().Get("Starts")) && k > r.URL.Query().Get("From") {
+				out.Items = append(out.Items, e)
+			}
+		}
+		sort.Slice(out.Items, func(a, b int) bool { return out.Items[a].Key < out.Items[b].Key })
+		respond(w, 200, out)
+	case strings.HasPrefix(p, "/kv/"):
+		if e, ok := s.keys[strings.TrimPrefix(p, "/kv/")]; ok {
+			respond(w, 200, e)
+		} else {
+			respond(w, 404, wire.TxnAnswer{Revision: s.revision})
+		}
+	default:
+		respond(w, 404, nil)
+	}
+}
+
+func (s *Services) multi(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		If   []wire.Cond `msgpack:"When"`
+		Then []struct {
+			Put    string             `msgpack:"Write"`
+			Value  msgpack.RawMessage `msgpack:"Value"`
+			Lease  uint64             `msgpack:"Tenancy"`
+			Delete string             `msgpack:"Drop"`
+		} `msgpack:"Writes"`
+	}
+	if !read(r, &t) {
+		respond(w, 400, nil)
+		return
+	}
+	a := wire.TxnAnswer{}
+	for _, c := range t.If {
+		if s.keys[c.Key].Version != c.Version {
+			a.Failed = append(a.Failed, c.Key)
+		}
+	}
+	if len(a.Failed) > 0 {
+		a.Revision = s.revision
+		respond(w, 409, a)
+		return
+	}
+	for _, c := range t.Then {
+		if _, ok := s.holds[c.Lease]; c.Lease != 0 && !ok {
+			respond(w, 400, wire.Error{Error: "no such lease"})
+			return
+		}
+	}
+	if len(t.Then) > 0 {
+		s.revision++
+	}
+	for _, c := range t.Then {
+		if c.Delete != "" {
+			s.drop(c.Delete)
+			continue
+		}
+		s.keys[c.Put] = wire.Entry{Key: c.Put, Value: c.Value, Version: s.revision, Lease: c.Lease}
+		s.emit(wire.Event{Put: c.Put, Value: c.Value, Version: s.revision})
+	}
+	if s.mute > 0 && len(t.Then) > 0 {
+		s.mute--
+		panic(http.ErrAbortHandler) // executed, but nobody is told
+	}
+	a.Revision = s.revision
+	respond(w, 200, a)
+}
+
+func (s *Services) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, _ := strconv.ParseUint(q.Get("From"), 10, 64)
+	hold, _ := strconv.Atoi(q.Get("HoldMs"))
+	until := time.After(time.Duration(hold) * time.Millisecond)
+	for {
+		out := wire.Events{Revision: s.revision}
+		for _, e := range s.events {
+			if e.Version > from && strings.HasPrefix(e.Put+e.Delete, q.Get("Starts")) {
+				out.Events = append(out.Events, e)
+			}
+		}
+		if len(out.Events) > 0 {
+			respond(w, 200, out)
+			return
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		over := false
+		select {
+		case <-changed:
+		case <-until:
+			over = true
+		case <-r.Context().Done():
+			over = true
+		case <-time.After(100 * time.Millisecond): // holds may have ended
+		}
+		s.mu.Lock()
+		s.expire()
+		if over {
+			respond(w, 200, wire.Events{Revision: s.revision})
+			return
+		}
+	}
+}
