Hand the token to workers that an older overseer may keep; store the catalog

A worker that reports to an overseer cut off from the state service and from its peers would have been returned with its tasks; now it gets the new token straight.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,21 +194,31 @@
 	}
 }
 
+// learnCatalog reads the machine types from the cloud, and prices again from
+// time to time. A node that starts while the cloud is in trouble uses the copy
+// that an overseer stored: it must be able to take jobs all the same.
 func (n *Node) learnCatalog(ctx context.Context) {
 	for wait := 300 * time.Millisecond; ; {
 		cat, err := n.cloud.Catalog(ctx)
 		if err == nil && len(cat.Types) > 0 {
-			n.mu.Lock()
-			n.catalog = &cat
-			n.mu.Unlock()
-			n.post(func() {
-				if n.reign != nil {
-					n.reign.core.SetCatalog(cat)
-				}
-			})
-			wait = 120 * time.Second
+			n.takeCatalog(cat)
+			if _, _, reigning := n.view(); reigning != 0 {
+				_, _ = n.state.Multi(ctx, wire.Txn{
+					If:   []wire.Cond{{Key: termKey, Version: reigning}},
+					Then: []wire.Change{{Put: catalogKey, Value: cat}},
+				})
+				wait = 120 * time.Second
+			} else {
+				wait = 60 * time.Second
+			}
 		} else {
 			wait = min(2*wait, 3*time.Second)
+			if _, known := n.types(); !known {
+				e, found, serr := n.state.Get(ctx, catalogKey)
+				if serr == nil && found && wire.Unmarshal(e.Value, &cat) == nil && len(cat.Types) > 0 {
+					n.takeCatalog(cat)
+				}
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -218,6 +228,17 @@
 	}
 }
 
+func (n *Node) takeCatalog(cat wire.Catalog) {
+	n.mu.Lock()
+	n.catalog = &cat
+	n.mu.Unlock()
+	n.post(func() {
+		if n.reign != nil {
+			n.reign.core.SetCatalog(cat)
+		}
+	})
+}
+
 func (n *Node) types() (wire.Catalog, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -17,6 +17,7 @@
 // over and all its tasks are gone; its end stays for good.
 const (
 	termKey      = "term"
+	catalogKey   = "catalog"
 	queuePrefix  = "q/"
 	jobPrefix    = "q/a/"
 	endPrefix    = "q/e/"
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -246,6 +246,7 @@
 	session   uint64
 	seq       uint64
 	lastHello Micros // when the newest report came
+	pushed    Micros // when the token was last sent straight to it
 	recallAt  Micros // when the cloud takes it, 0 if unknown
 	returning bool
 	lost      bool // silent beyond its lease
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -478,7 +478,17 @@
 // tend looks after machines and tasks as time passes.
 func (c *Core) tend() {
 	expiry := c.lease + c.lease/1000 + second/2 // the workers' clocks may be 0.05% slow, and ours fast
+	pushes := 0
 	for _, m := range c.machines {
+		if m.up && !m.confirmed && !m.lost && !m.returning && m.addr != "" && m.session > 0 && pushes < 16 &&
+			c.now-c.since > 2*second && c.now-m.pushed > 2*second {
+			// It may still report to an older overseer that is cut off from us
+			// and keeps it. Once its worker has seen this token it drops that
+			// one's answers and finds its way here.
+			m.pushed = c.now
+			pushes++
+			c.direct = append(c.direct, Direct{m.addr, wire.DirectOrders{Token: c.token, Session: m.session}})
+		}
 		if m.reserved != nil && (c.now >= m.reservedTill || m.reserved.over() || m.reserved.pending() == 0) {
 			m.reserved = nil
 		}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -285,12 +285,21 @@
 	b.AddJob(spec("j-1", "a", wire.Normal, 1, 8), b.now, b.now)
 	b.LoadMachine("n-1", Record{Addr: "n-1", Type: "s", Zone: "x", Session: 1, Tasks: []string{"j-1/0 5"}}, 3)
 	b.report("n-2", "s", "x", 1)
+	pushed := 0
 	for i := 0; i < 40; i++ {
 		b.now += second
 		b.report("n-2", "s", "x", 1)
 		if b.schedule() != nil {
 			t.Fatalf("started a second copy after %d s without proof", i+1)
 		}
+		for _, d := range b.Directs() {
+			if d.Addr == "n-1" && d.Orders.Token == 7 && len(d.Orders.Orders) == 0 {
+				pushed++
+			}
+		}
+	}
+	if pushed == 0 {
+		t.Error("the token was not sent to a worker that an older overseer may keep")
 	}
 	back := b.Returns(b.now, false)
 	if !slices.Contains(back, "n-1") {
