Let peers renew leases under the overseer's grant while the state service is down

Cause: an overseer that crashed or was cut off inside an outage left nobody to renew leases, so every running task was lost. A peer may now renew, without commands; in exchange nothing is freed because time has passed: a silent worker's machine is returned, as it was before, and the return is the proof.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	leader   string // who holds the term, as far as known
 	token    uint64 // highest token known
 	shown    snapshot
+	grant    grant
 	gaveUp   uint64 // the last term that this node gave up by itself
 	reigning uint64 // this node's token while it acts, otherwise 0
 	catalog  *wire.Catalog
@@ -255,8 +256,8 @@
 		n.mu.Lock()
 		n.peerOK[label] = err == nil && a.StateOK
 		n.mu.Unlock()
-		if err == nil && a.Token > 0 {
-			n.learn(a.Leader, a.Token)
+		if err == nil {
+			n.heard(a)
 		}
 		select {
 		case <-ctx.Done():
@@ -266,6 +267,43 @@
 	}
 }
 
+// grant is the overseer's word, renewed with every hello, that this node may
+// renew leases under its token while neither the overseer nor the state service
+// is in reach. It carries no commands, and nothing is ever freed because time
+// has passed, so a grant that outlives its overseer starts nothing twice.
+type grant struct {
+	token uint64
+	at    time.Time
+}
+
+const grantTime = 2 * time.Minute
+
+// heard takes a peer's hello.
+func (n *Node) heard(h *peer.Hello) {
+	if h.Token == 0 {
+		return
+	}
+	n.learn(h.Leader, h.Token)
+	if h.From == h.Leader {
+		n.mu.Lock()
+		if h.Token >= n.grant.token {
+			n.grant = grant{h.Token, time.Now()}
+		}
+		n.mu.Unlock()
+	}
+}
+
+// mayRenew says whether this node may renew the worker's lease by itself.
+func (n *Node) mayRenew(r *wire.Report) (uint64, bool) {
+	if n.state.Reachable(3 * time.Second) {
+		return 0, false // then another overseer can be found
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	g := n.grant
+	return g.token, g.token > 0 && g.token == n.token && r.Token <= g.token && time.Since(g.at) < grantTime
+}
+
 func (n *Node) hello() *peer.Hello {
 	leader, token, _ := n.view()
 	return &peer.Hello{From: n.set.Label, Leader: leader, Token: token, StateOK: n.state.Reachable(3 * time.Second)}
@@ -273,9 +311,7 @@
 
 // PeerHello implements peer.Server.
 func (n *Node) PeerHello(_ context.Context, h *peer.Hello) (*peer.Hello, error) {
-	if h.Token > 0 {
-		n.learn(h.Leader, h.Token)
-	}
+	n.heard(h)
 	return n.hello(), nil
 }
 
@@ -386,6 +422,9 @@
 	}
 	a, err := p.Relay(ctx, &peer.Relay{Report: *r})
 	if err != nil {
+		if token, ok := n.mayRenew(r); ok {
+			return wire.ReportAnswer{Token: token, Orders: []wire.Order{}}, nil
+		}
 		return wire.ReportAnswer{}, api.ErrNotNow
 	}
 	if a.Status != http.StatusOK {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -493,17 +493,13 @@
 			m.reserved = nil
 		}
 		if m.confirmed && !m.lost && c.now-m.lastHello > expiry {
-			// The lease ran out, counted from the last report answered: the
-			// worker has seen this term's token, so no older overseer can have
-			// renewed it, and reports are sent before they come.
+			// As far as this node can tell the lease ran out. But while the
+			// state service is out of reach a peer may renew leases under this
+			// term's token, so time proves nothing: the machine is returned,
+			// and its tasks are freed when that is confirmed.
 			m.lost, m.confirmed = true, false
 			c.Stats.LeasesLost++
 			c.log("lease ran out", "host", m.host, "tasks", m.n)
-			m.each(func(p *placement) {
-				if p.stored {
-					c.free(p)
-				}
-			})
 		}
 		if m.recallAt > 0 && m.confirmed {
 			c.drain(m)
--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -172,8 +172,6 @@
 	if len(c.tasks) != 2 {
 		t.Errorf("in an outage the tasks changed: %v", c.tasks)
 	}
-	c.svc.SetDown(false)
-
 	before := c.token
 	for i := range c.addrs { // end the overseer: the node that shows itself as such
 		resp, err := http.Get("http://" + c.addrs[i] + "/metrics")
@@ -191,6 +189,12 @@
 	if len(c.addrs) != 2 {
 		t.Fatal("no node showed itself as overseer")
 	}
+	// The overseer died within the outage: its peers renew under its grant.
+	c.until("a lease is renewed without an overseer", func() bool { return c.report(0) == 200 })
+	if c.token != before || len(c.tasks) != 2 {
+		t.Errorf("under the grant the token went from %d to %d, tasks %v", before, c.token, c.tasks)
+	}
+	c.svc.SetDown(false)
 	c.until("another overseer", func() bool { c.report(0); return c.token > before })
 	for i := 0; i < 3; i++ {
 		c.report(1)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -45,6 +45,7 @@
 	nextAt  int64 // when it reports next
 	gaveUp  int64 // when the report in flight is given up
 	nonce   int   // of the report in flight
+	echo    int64 // until when a peer renews its lease instead of the overseer
 	recall  int64
 }
 
@@ -355,6 +356,13 @@
 		m.lost = true
 	case 2:
 		return // lost on the way
+	case 3: // another node renews the lease under the same token, for a while
+		k.echo = w.Now + int64(w.Rng.IntN(int(20*second)))
+	}
+	if w.Now < k.echo && k.token > 0 {
+		k.waiting = false
+		k.renewed = w.Now
+		return
 	}
 	w.net = append(w.net, m)
 }
