--- a/internal/node/users_test.go
+++ b/internal/node/users_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"dalefront/internal/config"
+	"dalefront/internal/peer"
 	"dalefront/wire"
 )
 
@@ -45,3 +46,26 @@
 		t.Fatalf("got %+v, %v; want done", st, err)
 	}
 }
+
+// A node that does not hold the term must not answer a report with 200, and
+// without the overseer's grant it must not renew a lease either.
+func TestNotEntitled(t *testing.T) {
+	n := testNode(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	r := &wire.Report{Host: "n-1", Type: "s", Zone: "x", Session: 1, Seq: 1, Token: 5}
+	if _, err := n.Report(context.Background(), r); err == nil {
+		t.Error("a node without a term answered 200")
+	}
+	n.heard(&peer.Hello{From: "b", Leader: "b", Token: 5})
+	if token, ok := n.mayRenew(r); !ok || token != 5 {
+		t.Errorf("with a fresh grant: token %d, %v", token, ok)
+	}
+	r.Token = 6 // somebody newer rules
+	if _, ok := n.mayRenew(r); ok {
+		t.Error("renewed although the worker has seen a higher token")
+	}
+	n.heard(&peer.Hello{From: "c", Leader: "d", Token: 7})
+	r.Token = 5
+	if _, ok := n.mayRenew(r); ok {
+		t.Error("renewed under a grant that a higher token has ended")
+	}
+}
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -40,7 +40,6 @@
 	taskKey
 	attempt uint64
 	m       *machine
-	cpus    float64
 
 	stored  bool // the write-ahead record is durable
 	loaded  bool // from a record of an earlier term: never launched again
@@ -369,9 +368,24 @@
 // Token is the term's token.
 func (c *Core) Token() uint64 { return c.token }
 
+// maxClasses bounds what is remembered of classes of jobs.
+const maxClasses = 500
+
 func (c *Core) classOf(name string) *class {
 	cl := c.classes[name]
 	if cl == nil {
+		if len(c.classes) >= maxClasses {
+			// Users choose the names: forget those that nothing runs under.
+			used := map[string]bool{}
+			for _, j := range c.jobs {
+				used[j.spec.Class] = true
+			}
+			for n := range c.classes {
+				if !used[n] {
+					delete(c.classes, n)
+				}
+			}
+		}
 		cl = &class{name: name, ratio: 1, at: c.now}
 		for _, o := range c.set.Deployment.Objectives {
 			if o.Class != name {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -424,8 +424,7 @@
 	return zs
 }
 
-// Committed says that the batch is durable: its launches may be sent. It
-// returns the addresses of the workers that could be told.
+// Committed says that the batch is durable: its launches may be sent.
 func (c *Core) Committed(cm *Commit, revision uint64, now Micros) {
 	c.now = now
 	c.commit = nil
--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -220,6 +220,7 @@
 		t.Errorf("cancelling a job that is done: %d %s", code, st.Status)
 	}
 
+	c.svc.Mute(4) // among them the write-ahead of its launch
 	c.until("another job is accepted", func() bool {
 		code, _ := c.ask(0, http.MethodPost, wire.PathJobs, c.submission("j-3", 1), &st)
 		return code == 200 || code == 201
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -56,7 +56,6 @@
 	nonce  int
 	w      *worker
 	lost   bool // the answer will be lost
-	delay  int64
 }
 
 // news is an end that the watch has yet to bring to the overseer.
@@ -411,6 +410,9 @@
 		if t == nil {
 			k.order = append(k.order, o.Task)
 		}
+		if w.Rng.IntN(60) == 0 {
+			nt.state, nt.cause = wire.TaskExited, wire.CauseNoRoom
+		}
 		k.tasks[o.Task] = nt
 	case wire.Stop:
 		if t == nil || t.attempt != o.Attempt || t.state == wire.TaskExited {
@@ -464,6 +466,11 @@
 		}
 	}
 	for _, d := range c.Directs() {
+		for _, o := range d.Orders.Orders {
+			if o.Op != wire.Stop { // it may be executed minutes late
+				w.broken("a %s of %s was sent straight to a worker", o.Op, o.Task)
+			}
+		}
 		for _, h := range keys(w.workers) {
 			if k := w.workers[h]; h+":1" == d.Addr && !k.dead && k.session == d.Orders.Session && k.token <= d.Orders.Token && w.Rng.IntN(2) == 0 {
 				k.seq++
