--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -161,7 +161,9 @@
 		id, idx, _ := strings.Cut(strings.TrimPrefix(e.Key, donePrefix), "/")
 		i, err := strconv.Atoi(idx)
 		var text string
-		if err == nil && wire.Unmarshal(e.Value, &text) == nil {
+		if _, _, _, known := core.Counts(id); !known {
+			r.tidy = append(r.tidy, e.Key) // left by a job that is over and gone
+		} else if err == nil && wire.Unmarshal(e.Value, &text) == nil {
 			core.SetProgress(id, i, text)
 			r.chunks[id] = max(r.chunks[id], i+1)
 		}
@@ -541,6 +543,10 @@
 			return
 		}
 		for _, c := range cs {
+			if _, _, _, known := r.core.Counts(c.Job); !known {
+				r.tidy = append(r.tidy, chunkKey(c.Job, c.Index)) // forgotten meanwhile
+				continue
+			}
 			r.chunks[c.Job] = max(r.chunks[c.Job], c.Index+1)
 			r.core.ProgressStored(c)
 		}
