--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,7 +30,8 @@
 	start  time.Time
 	wall   int64
 
-	events chan func() // run by the owner
+	events  chan func()   // run by the owner
+	submits chan struct{} // bounds the submissions that are being stored
 
 	// Owned by the owner goroutine.
 	reign *reign
@@ -62,7 +63,10 @@
 		peers:  map[string]*peer.Client{},
 		start:  now, wall: now.UnixMicro(),
 		events: make(chan func(), 1024),
-		finals: map[string]wire.JobStatus{}, known: map[string]struct{}{}, peerOK: map[string]bool{},
+		// What the state service takes in two seconds; more are sent away at
+		// once, since they could not be told in time.
+		submits: make(chan struct{}, max(8, int(2*d.State.WriteRPS))),
+		finals:  map[string]wire.JobStatus{}, known: map[string]struct{}{}, peerOK: map[string]bool{},
 	}
 	for _, m := range set.Members {
 		c, err := peer.Dial(m.Addr)
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -184,6 +184,12 @@
 		}
 		return st, false, err
 	}
+	select {
+	case n.submits <- struct{}{}:
+		defer func() { <-n.submits }()
+	default:
+		return wire.JobStatus{}, false, api.ErrOverload
+	}
 	rec := jobRecord{Job: *j, Arrival: n.now()}
 	if b, err := wire.Marshal(rec); err != nil || float64(len(b)) > 0.9*1024*n.set.Deployment.State.ValueKB {
 		// Sizes count in the longer text form; no sensible job comes near.
--- a/internal/node/users_test.go
+++ b/internal/node/users_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 
+	"dalefront/internal/api"
 	"dalefront/internal/config"
 	"dalefront/internal/peer"
 	"dalefront/wire"
@@ -69,3 +72,32 @@
 		t.Error("renewed under a grant that a higher token has ended")
 	}
 }
+
+// Submissions beyond what can be stored in time are sent away at once.
+func TestTooManySubmissions(t *testing.T) {
+	release := make(chan struct{})
+	n := testNode(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	n.set.Deployment.Teams = []config.Team{{Name: "a"}}
+	n.set.Deployment.State.ValueKB = 16
+	n.submits = make(chan struct{}, 1)
+	n.takeCatalog(wire.Catalog{Types: []wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 4, Zones: []string{"x"}}}})
+	submit := func(id string) error {
+		_, _, err := n.Submit(context.Background(), &wire.Job{ID: id, Team: "a", Shape: wire.Array, Tasks: 1, CPUs: 1})
+		return err
+	}
+	first := make(chan error)
+	go func() { first <- submit("j-1") }()
+	for len(n.submits) == 0 {
+		runtime.Gosched()
+	}
+	if err := submit("j-2"); !errors.Is(err, api.ErrOverload) {
+		t.Errorf("got %v, want %v", err, api.ErrOverload)
+	}
+	close(release)
+	if err := <-first; !errors.Is(err, api.ErrNotNow) {
+		t.Errorf("got %v, want %v", err, api.ErrNotNow)
+	}
+}
