--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,6 +124,7 @@
 	settle := time.NewTimer(time.Hour)
 	defer settle.Stop()
 	armed := false
+	var took time.Duration
 	for {
 		select {
 		case <-ctx.Done():
@@ -132,13 +133,15 @@
 			f()
 			if n.dirty && !armed {
 				armed = true
-				settle.Reset(20 * time.Millisecond)
+				settle.Reset(max(20*time.Millisecond, 3*took))
 			}
 		case <-settle.C:
 			armed = false
 			n.dirty = false
 			if n.reign != nil {
+				began := time.Now()
 				n.reign.pass()
+				took = min(time.Since(began), 100*time.Millisecond) // a small share of the processor
 			}
 		case <-tick.C:
 			if n.reign != nil {
@@ -364,8 +367,9 @@
 			return
 		}
 		a, ok = n.reign.core.Report(r, n.now()), true
-		n.dirty = true
-		if n.reign.core.Hungry(r.Host) && len(n.reign.waiters) < maxWaiters {
+		hungry := n.reign.core.Hungry(r.Host)
+		n.dirty = n.dirty || hungry || n.reign.core.Changed()
+		if hungry && len(n.reign.waiters) < maxWaiters {
 			fresh = make(chan []wire.Order, 1)
 			n.reign.waiters = append(n.reign.waiters, waiter{r.Host, n.reign.passes, fresh})
 		}
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"dalefront/internal/cloud"
@@ -168,16 +169,19 @@
 			r.chunks[id] = max(r.chunks[id], i+1)
 		}
 	}
-	hosts, _, err := n.state.List(r.ctx, hostPrefix)
+	entries, _, err := n.state.List(r.ctx, ledgerPrefix)
 	if err != nil {
 		return err
 	}
-	for _, e := range hosts {
-		var rec sched.Record
-		if wire.Unmarshal(e.Value, &rec) == nil {
-			core.LoadMachine(strings.TrimPrefix(e.Key, hostPrefix), rec, e.Version)
+	ledger := make(map[string]sched.Entry, len(entries))
+	for _, e := range entries {
+		var entry sched.Entry
+		if err := wire.Unmarshal(e.Value, &entry); err != nil {
+			return fmt.Errorf("ledger entry %s: %w", e.Key, err)
 		}
+		ledger[strings.TrimPrefix(e.Key, ledgerPrefix)] = entry
 	}
+	core.Load(ledger)
 	hires, _, err := n.state.List(r.ctx, hirePrefix)
 	if err != nil {
 		return err
@@ -358,9 +362,6 @@
 		}
 		delete(r.chunks, id)
 	}
-	for _, h := range r.core.DroppedHosts() {
-		r.tidy = append(r.tidy, hostPrefix+h)
-	}
 }
 
 // tick does what time brings: progress, tidying, the fleet. Owner goroutine.
@@ -404,14 +405,17 @@
 }
 
 // commit stores a write-ahead batch. While its outcome is unknown it is asked
-// again under the same conditions: whichever copy comes first changes the
-// versions, so no other can be applied.
+// again under the same conditions: its entry is created once, so that only one
+// copy can ever be applied.
 func (r *reign) commit(cm *sched.Commit) {
 	n := r.n
-	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
-	for _, h := range cm.Hosts {
-		txn.If = append(txn.If, wire.Cond{Key: hostPrefix + h.Host, Version: h.Version})
-		txn.Then = append(txn.Then, wire.Change{Put: hostPrefix + h.Host, Value: h.Record})
+	key := ledgerPrefix + cm.Name
+	txn := wire.Txn{If: []wire.Cond{r.termCond(), {Key: key}}}
+	if len(cm.Entry.Runs) > 0 {
+		txn.Then = append(txn.Then, wire.Change{Put: key, Value: cm.Entry})
+	}
+	for _, name := range cm.Drop {
+		txn.Then = append(txn.Then, wire.Change{Delete: ledgerPrefix + name})
 	}
 	for _, id := range cm.Jobs {
 		txn.If = append(txn.If, wire.Cond{Key: endKey(id)})
@@ -421,7 +425,7 @@
 		a, err := n.state.Multi(r.ctx, txn)
 		switch {
 		case err == nil:
-			r.commitDone(cm, a.Revision, true)
+			r.commitDone(cm, true)
 			return
 		case errors.Is(err, state.ErrUnknown):
 			unknown = true
@@ -431,14 +435,14 @@
 		case !unknown:
 			// Refused: it was not executed and never will be.
 			n.log.Debug("commit refused", "err", err)
-			r.commitDone(cm, 0, false)
+			r.commitDone(cm, false)
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 }
 
-func (r *reign) commitDone(cm *sched.Commit, revision uint64, ok bool) {
+func (r *reign) commitDone(cm *sched.Commit, ok bool) {
 	n := r.n
 	n.post(func() {
 		if n.reign != r {
@@ -446,7 +450,7 @@
 		}
 		r.busyCommit = false
 		if ok {
-			r.core.Committed(cm, revision, n.now())
+			r.core.Committed(cm, n.now())
 		} else {
 			r.core.Refused(cm, n.now())
 		}
@@ -460,7 +464,7 @@
 func (r *reign) conflict(cm *sched.Commit, failed []string) {
 	n := r.n
 	for r.ctx.Err() == nil {
-		again := false
+		again, applied := false, false
 		for _, k := range failed {
 			e, found, err := n.state.Get(r.ctx, k)
 			if err != nil {
@@ -479,22 +483,12 @@
 						_ = r.ended(r.core, strings.TrimPrefix(k, endPrefix), e.Value)
 					}
 				})
-			case strings.HasPrefix(k, hostPrefix):
-				var rec sched.Record
-				if found && wire.Unmarshal(e.Value, &rec) == nil && len(cm.Hosts) > 0 && rec.Mark == cm.Hosts[0].Record.Mark {
-					r.commitDone(cm, e.Version, true)
-					return
-				}
-				host, version := strings.TrimPrefix(k, hostPrefix), e.Version
-				n.post(func() {
-					if n.reign == r {
-						r.core.SetVersion(host, version)
-					}
-				})
+			case strings.HasPrefix(k, ledgerPrefix):
+				applied = applied || found
 			}
 		}
 		if !again {
-			r.commitDone(cm, 0, false)
+			r.commitDone(cm, applied)
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -643,21 +637,7 @@
 			n.dirty = true
 		})
 	}
-	for _, h := range hires {
-		hosts, err := r.hire(h)
-		n.log.Info("hire", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count, "got", len(hosts), "err", err)
-		n.post(func() {
-			if n.reign != r {
-				return
-			}
-			if err != nil {
-				r.core.HireFailed(h, errors.Is(err, cloud.ErrNoCapacity), n.now())
-			} else {
-				r.core.Hired(h, hosts, n.now())
-			}
-			r.tidy = append(r.tidy, hirePrefix+h.Request)
-		})
-	}
+	r.hireAll(hires)
 	if list {
 		ms, err := n.cloud.List(r.ctx)
 		if err != nil {
@@ -672,13 +652,41 @@
 	}
 }
 
-// hire stores the request's name, then asks for the machines.
-func (r *reign) hire(h wire.Hire) ([]string, error) {
-	_, err := r.n.state.Multi(r.ctx, wire.Txn{If: []wire.Cond{r.termCond()},
-		Then: []wire.Change{{Put: hirePrefix + h.Request, Value: h}}})
-	if err != nil {
-		return nil, err
+// hireAll stores the names of a round's requests, in one write, and then asks for
+// the machines, side by side: none waits behind a slow answer to another.
+func (r *reign) hireAll(hires []wire.Hire) {
+	if len(hires) == 0 {
+		return
 	}
+	n := r.n
+	key := hirePrefix + hires[0].Request
+	_, stored := n.state.Multi(r.ctx, wire.Txn{If: []wire.Cond{r.termCond()}, Then: []wire.Change{{Put: key, Value: hires}}})
+	var all sync.WaitGroup
+	for _, h := range hires {
+		all.Go(func() {
+			var hosts []string
+			err := stored
+			if err == nil {
+				hosts, err = r.hire(h)
+			}
+			n.log.Info("hire", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count, "got", len(hosts), "err", err)
+			n.post(func() {
+				if n.reign != r {
+					return
+				}
+				if err != nil {
+					r.core.HireFailed(h, errors.Is(err, cloud.ErrNoCapacity), n.now())
+				} else {
+					r.core.Hired(h, hosts, n.now())
+				}
+			})
+		})
+	}
+	all.Wait()
+	n.post(func() { r.tidy = append(r.tidy, key) })
+}
+
+func (r *reign) hire(h wire.Hire) ([]string, error) {
 	for i := 0; ; i++ {
 		hosts, err := r.n.cloud.Hire(r.ctx, h)
 		if err == nil || errors.Is(err, cloud.ErrNoCapacity) || i == 2 || r.ctx.Err() != nil {
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -22,7 +22,7 @@
 	jobPrefix    = "q/a/"
 	endPrefix    = "q/e/"
 	donePrefix   = "p/"
-	hostPrefix   = "m/"
+	ledgerPrefix = "l/"
 	hirePrefix   = "h/"
 	maxRemember  = 20000
 	maxKnownJobs = 50000
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -86,6 +86,7 @@
 		j.due = j.arrival + config.Micro(*spec.DeadlineS)
 	}
 	c.jobs[spec.ID] = j
+	c.changed = true
 	cl.sample = j
 	if now-j.arrival < rateMemory {
 		cl.arrive(now, float64(spec.Tasks))
@@ -203,7 +204,7 @@
 func (c *Core) nextCheckpoint(m *machine) {
 	var next *placement
 	m.each(func(p *placement) {
-		if p.queued && (next == nil || p.attempt < next.attempt) {
+		if p.queued && (next == nil || p.attempt < next.attempt || (p.attempt == next.attempt && p.task < next.task)) {
 			next = p
 		}
 	})
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -71,21 +71,46 @@
 
 const maxEvictions = 3
 
+// mayEvict says whether the job has waited long enough and whether anything that
+// it may evict can be running at all.
+func (c *Core) mayEvict(j *job) bool {
+	if j.waitSince == 0 || c.now-j.waitSince < c.evictAfter || c.now < j.noRoomTill {
+		return false
+	}
+	lower := 0
+	for r := 0; r < j.rank; r++ {
+		lower += c.ranks[r]
+	}
+	if lower > 0 {
+		return true
+	}
+	if !j.team.guarantees(j.spec.CPUs, j.spec.GPUs) {
+		return false
+	}
+	for _, t := range c.teams {
+		if t != j.team && t.beyond() && (t.cpus > eps || t.gpus > eps) {
+			return true
+		}
+	}
+	return false
+}
+
+// noRoom is how long a job for which nothing could be cleared is not tried again.
+const noRoom = second
+
 // makeRoom evicts for the job's next task, if it has waited long enough and may
 // evict at all: victims from the one machine with the least total cost.
 func (c *Core) makeRoom(j *job) {
-	if j.waitSince == 0 || c.now-j.waitSince < c.evictAfter || c.now < c.backoff[j.id] {
+	if !c.mayEvict(j) {
 		return
 	}
 	reserved := 0
 	usable := 0
-	for _, m := range c.machines {
+	for _, m := range c.open {
 		if m.reserved == j {
 			reserved++
 		}
-		if c.usable(m) {
-			usable++
-		}
+		usable++
 	}
 	// Soft point: a guest's huge job would evict almost everything. A job may
 	// clear at most a quarter of the machines at a time, and each only once its
@@ -97,8 +122,8 @@
 	var bestM *machine
 	var best []victim
 	var bestCost Micros
-	for _, m := range c.machines {
-		if !allowed(j, m) || !c.usable(m) || m.reserved != nil || !zoneOK(j, zones, m.zone) ||
+	for _, m := range c.open {
+		if !allowed(j, m) || m.reserved != nil || !zoneOK(j, zones, m.zone) ||
 			j.spec.CPUs > m.kind.CPUs+eps || j.spec.GPUs > m.kind.GPUs+eps || j.spec.MemoryGB > m.kind.MemoryGB+eps {
 			continue
 		}
@@ -115,8 +140,14 @@
 		}
 	}
 	if bestM == nil {
+		j.noRoomTill = c.now + noRoom
 		return
 	}
+	c.evict(j, bestM, best)
+}
+
+// evict carries out a choice of victims and keeps the machine for the job.
+func (c *Core) evict(j *job, m *machine, best []victim) {
 	longest := Micros(0)
 	queue := Micros(0)
 	for _, v := range best {
@@ -129,15 +160,165 @@
 			c.Stats.Kills++
 		}
 		v.tasks[0].job.evictions++
-		c.log("evict", "for", j.id, "job", v.tasks[0].job.id, "tasks", len(v.tasks), "host", bestM.host,
+		c.log("evict", "for", j.id, "job", v.tasks[0].job.id, "tasks", len(v.tasks), "host", m.host,
 			"checkpoint", v.checkpoint, "progress_us", v.progress, "overhead_us", v.overhead)
 		for _, p := range v.tasks {
 			p.evictee = true
 			c.stop(p, v.checkpoint)
 		}
 	}
-	bestM.reserved = j
-	bestM.reservedTill = c.now + longest + 10*second
+	m.reserved, m.reservedFor = j, 0
+	m.reservedTill = c.now + longest + 10*second
+}
+
+// way is how a machine can come to have room for tasks of a gang.
+type way struct {
+	m       *machine
+	slots   int
+	after   Micros // until it has the room, if nothing is evicted
+	victims []victim
+	cost    Micros
+}
+
+// makeRoomForGang finds the machines on which a waiting gang could start with
+// the least cost, in one zone if it must, and keeps them for it: those with
+// room, those where tasks end soon, and those where the paper's rule finds
+// victims. Without that a large gang waits for ever for machines that small
+// tasks keep filling. Two gangs never hold part of what the other needs: what is
+// kept for one isn't looked at for the next.
+func (c *Core) makeRoomForGang(j *job, missing int) {
+	if c.now < j.noRoomTill {
+		return
+	}
+	used := j.zones()
+	may := c.mayEvict(j)
+	ways := map[string][]way{}
+	held := 0
+	for _, m := range c.open {
+		if m.reserved != nil && m.reserved != j && c.now < m.reservedTill {
+			held++
+			continue
+		}
+		if !allowed(j, m) || !zoneOK(j, used, m.zone) || slots(j, m.kind, 0, 0, 0) == 0 {
+			continue
+		}
+		if w, ok := c.wayOn(j, m, may); ok {
+			z := m.zone
+			if !j.spec.OneZone {
+				z = ""
+			}
+			ways[z] = append(ways[z], w)
+		}
+	}
+	var best []way
+	var bestCost Micros
+	zones := make([]string, 0, len(ways))
+	for z := range ways {
+		zones = append(zones, z)
+	}
+	sort.Strings(zones)
+	for _, z := range zones {
+		ws := ways[z]
+		sort.SliceStable(ws, func(a, b int) bool { return ws[a].cost < ws[b].cost })
+		n, k, cost := 0, 0, Micros(0)
+		for ; k < len(ws) && n < missing; k++ {
+			n += ws[k].slots
+			cost = max(cost, ws[k].after) // it starts with the last one
+			for _, v := range ws[k].victims {
+				cost += v.cost
+			}
+		}
+		if n >= missing && (best == nil || cost < bestCost) {
+			best, bestCost = ws[:k], cost
+		}
+	}
+	if best == nil {
+		j.noRoomTill = c.now + noRoom
+		return
+	}
+	// Soft point: no guest's huge job holds or clears more than part of the
+	// machines, but a gang that needs more could never start otherwise.
+	if limit := max(1, len(c.open)/2); held > 0 && held+len(best) > limit {
+		j.noRoomTill = c.now + noRoom
+		return
+	}
+	start := Micros(0)
+	for _, w := range best {
+		start = max(start, w.after)
+	}
+	for _, w := range best {
+		if len(w.victims) > 0 {
+			c.evict(j, w.m, w.victims)
+			w.m.reservedTill += start
+			continue
+		}
+		w.m.reserved, w.m.reservedFor = j, c.now+start
+		w.m.reservedTill = c.now + start + 5*second
+	}
+	j.noRoomTill = c.now + noRoom
+}
+
+// wayOn says how the machine could take tasks of a gang: now, by waiting, or by
+// evicting, whichever costs less.
+func (c *Core) wayOn(j *job, m *machine, may bool) (way, bool) {
+	w := way{m: m, slots: slots(j, m.kind, m.cpus, m.gpus, m.mem)}
+	like := Micros(c.score(j, m) * float64(second))
+	if w.slots > 0 {
+		w.cost = like
+		return w, j.spec.GPUs > 0 || m.kind.GPUs == 0 || c.mayBlockGPUs(j, m)
+	}
+	// By waiting: the tasks that are expected to end first.
+	type end struct {
+		at Micros
+		j  *job
+	}
+	var ends []end
+	m.each(func(p *placement) {
+		left := Micros(0)
+		switch {
+		case p.stop:
+			left = second
+		case p.job.spec.EstimateS == 0:
+			left = 3600 * second
+		default:
+			// Later than expected is likely to be a while later still.
+			left = p.job.estimate() + Micros(c.fetch(p.job, m)*float64(second))
+			if p.running > 0 {
+				left = max(p.job.estimate()-(c.now-p.running), p.job.estimate()/4)
+			}
+		}
+		ends = append(ends, end{left, p.job})
+	})
+	sort.Slice(ends, func(a, b int) bool { return ends[a].at < ends[b].at })
+	cpus, gpus, mem := m.cpus, m.gpus, m.mem
+	for _, e := range ends {
+		cpus, gpus, mem = cpus-e.j.spec.CPUs, gpus-e.j.spec.GPUs, mem-e.j.spec.MemoryGB
+		if w.slots = slots(j, m.kind, cpus, gpus, mem); w.slots > 0 {
+			w.after = e.at
+			break
+		}
+	}
+	if w.slots == 0 {
+		return w, false
+	}
+	w.cost = like + w.after
+	if !may || w.after < 2*second {
+		return w, true
+	}
+	vs, ok := c.victims(j, m)
+	if !ok {
+		return w, true
+	}
+	cost := like
+	for _, v := range vs {
+		cost += v.cost
+	}
+	// A gang waits for all its machines together: waiting costs it as many
+	// times over as it has tasks.
+	if cost < like+w.after*Micros(j.spec.Tasks) {
+		w.victims, w.after, w.cost, w.slots = vs, 0, cost, 1
+	}
+	return w, true
 }
 
 // victims picks the cheapest victims on the machine, by checkpoint time, that
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"dalefront/internal/config"
@@ -87,11 +88,13 @@
 			}
 		})
 		c.Stats.Returned++
-		if m.recorded {
-			c.dropHost = append(c.dropHost, h)
+		for _, e := range c.entries {
+			if _, named := e.hosts[h]; named && len(e.live) > 0 {
+				c.fragile[e.name] = struct{}{}
+			}
 		}
 		if m.n == 0 {
-			delete(c.machines, h)
+			c.dropMachine(m)
 		} else {
 			m.lost = true // a commit for it is outstanding; it frees its tasks
 			m.returning = false
@@ -110,20 +113,13 @@
 	}
 }
 
-// DroppedHosts returns the machines whose records may be deleted.
-func (c *Core) DroppedHosts() []string {
-	d := c.dropHost
-	c.dropHost = nil
-	return d
-}
-
 // Blind says that most workers fell silent at once: then the fault is likelier
 // on this side, and another controller should take over.
 func (c *Core) Blind(now Micros) bool {
 	c.now = now
 	up, silent := 0, 0
 	limit := max(5*second, c.lease/2)
-	for _, m := range c.machines {
+	for _, m := range c.order {
 		if m.up && (m.confirmed || m.lost) && !m.returning && !m.failed && now-m.lastHello < 4*c.lease {
 			up++
 			if now-m.lastHello > limit {
@@ -148,7 +144,7 @@
 	lag := config.Micro(c.set.Deployment.Cloud.ListLagS)
 	idleMost := config.Micro(*c.set.Operator.IdleReturnS)
 	cancel := config.Micro(c.set.Deployment.Workers.CancelS)
-	hosts := c.sortedMachines()
+	hosts := slices.Clone(c.order)
 	for _, m := range hosts {
 		if m.returning {
 			continue
@@ -218,7 +214,7 @@
 // Fleet counts the machines known and those whose workers have confirmed the
 // term.
 func (c *Core) Fleet() (known, up int) {
-	for _, m := range c.machines {
+	for _, m := range c.order {
 		if m.confirmed {
 			up++
 		}
@@ -226,15 +222,6 @@
 	return len(c.machines), up
 }
 
-func (c *Core) sortedMachines() []*machine {
-	ms := make([]*machine, 0, len(c.machines))
-	for _, m := range c.machines {
-		ms = append(ms, m)
-	}
-	sort.Slice(ms, func(a, b int) bool { return ms[a].host < ms[b].host })
-	return ms
-}
-
 func (c *Core) price(m *machine) float64 { return rate(m.kind, m.spot) }
 
 func rate(t *wire.MachineType, spot bool) float64 {
@@ -275,7 +262,7 @@
 		// to chance: the mean plus one deviation.
 		n := cl.perSecond(now) * (boot + 10)
 		slots := int(math.Round((n + math.Sqrt(n)) * *c.set.Operator.SpareFactor))
-		for _, m := range c.machines {
+		for _, m := range c.order {
 			if slots > 0 && c.usable(m) && c.clearable(cl.sample, m) {
 				slots-- // evicting makes that room
 			}
@@ -385,7 +372,7 @@
 // call for; at most a few at a time.
 func (c *Core) Hires(now Micros) []wire.Hire {
 	c.now = now
-	if now-c.since < 3*second {
+	if now-c.since < 3*second || c.listedAt == 0 {
 		return nil // first learn which machines there are
 	}
 	type bin struct {
@@ -397,7 +384,7 @@
 	}
 	total := 0
 	var bins []*bin
-	for _, m := range c.sortedMachines() {
+	for _, m := range c.order {
 		if m.failed || m.returning || m.lost {
 			continue
 		}
@@ -457,11 +444,20 @@
 	}
 	count := map[string]*wire.Hire{}
 	var order, full []string
+	wanted := 0.0
+	for _, d := range need {
+		wanted += float64(d.slots) * d.job.spec.CPUs
+	}
+	atOnce := perKind
+	if least := c.smallest(); least > 0 {
+		atOnce = min(perHire, max(perKind, int(wanted/least/16)))
+	}
 	for _, d := range need {
 		left := d.slots
 		j := d.job
+		only := ""
 		fill := func(b *bin) {
-			if left == 0 || (b.spot && !j.spec.Spot) || !fitsType(&j.spec, b.kind) || (j.spec.Zone != nil && *j.spec.Zone != b.zone) {
+			if left == 0 || (only != "" && b.zone != only) || (b.spot && !j.spec.Spot) || !fitsType(&j.spec, b.kind) || (j.spec.Zone != nil && *j.spec.Zone != b.zone) {
 				return
 			}
 			if b.kind.GPUs > 0 && j.spec.GPUs == 0 && b.fresh {
@@ -473,11 +469,31 @@
 			b.gpus += float64(k) * j.spec.GPUs
 			b.me += float64(k) * j.spec.MemoryGB
 		}
+		if j.spec.OneZone && j.gang() && left > 1 {
+			// Machines spread over zones don't help it: the zone that has most room
+			// for it, now or soon, gets what is still missing.
+			in := map[string]int{}
+			for _, b := range bins {
+				if (!b.spot || j.spec.Spot) && fitsType(&j.spec, b.kind) && !(b.kind.GPUs > 0 && j.spec.GPUs == 0 && b.fresh) {
+					in[b.zone] += min(left, slots(j, b.kind, b.cpus, b.gpus, b.me))
+				}
+			}
+			most := -1
+			for _, z := range c.zonesFor(j) {
+				n := in[z]
+				if n < left && !c.hirable(j, z) {
+					n -= 1 << 20
+				}
+				if only == "" || n > most {
+					only, most = z, n
+				}
+			}
+		}
 		for _, b := range bins {
 			fill(b)
 		}
 		for left > 0 && total < *c.set.Operator.MaxMachines && len(bins) < 4000 {
-			t, zone, spot, ok := c.choose(j, left)
+			t, zone, spot, ok := c.choose(j, left, only)
 			if !ok {
 				break
 			}
@@ -497,7 +513,7 @@
 				order = append(order, k)
 			}
 			count[k].Count++
-			if count[k].Count == perKind {
+			if count[k].Count == atOnce {
 				c.refused[k] = now // full for this round: go on with the next kind
 				full = append(full, k)
 			}
@@ -518,6 +534,19 @@
 	return out
 }
 
+// smallest is the size of the smallest machine type that some class can use.
+func (c *Core) smallest() float64 {
+	least := 0.0
+	for _, cl := range c.classes {
+		for _, t := range c.types {
+			if cl.sample != nil && fitsType(&cl.sample.spec, t) && (least == 0 || t.CPUs < least) {
+				least = t.CPUs
+			}
+		}
+	}
+	return least
+}
+
 // endsWithin says whether a running task is expected to end within the time.
 func (c *Core) endsWithin(p *placement, t Micros) bool {
 	if p.running == 0 || p.job.spec.EstimateS == 0 {
@@ -528,8 +557,35 @@
 }
 
 // perKind bounds one rental request, so that a round spreads over zones and
-// kinds instead of finding out one by one which are empty.
-const perKind = 6
+// kinds instead of finding out one by one which are empty. When hundreds of
+// machines are wanted it grows, so that a few rounds rent them.
+const (
+	perKind = 6
+	perHire = 50 // the protocol's limit
+)
+
+// zonesFor lists the zones in which the job may have machines at all.
+func (c *Core) zonesFor(j *job) []string {
+	var zs []string
+	for _, t := range c.types {
+		if !fitsType(&j.spec, t) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if (j.spec.Zone == nil || *j.spec.Zone == z) && !slices.Contains(zs, z) {
+				zs = append(zs, z)
+			}
+		}
+	}
+	sort.Strings(zs)
+	return zs
+}
+
+// hirable says whether the zone may have machines for the job, as far as known.
+func (c *Core) hirable(j *job, zone string) bool {
+	_, _, _, ok := c.choose(j, 1, zone)
+	return ok
+}
 
 // dearest is how many times the cheapest price per task may be paid for a job
 // whose start no aim watches.
@@ -537,9 +593,9 @@
 
 // choose picks the type, zone and kind with the least price for a task of the
 // job among those not lately refused, spread over zones.
-func (c *Core) choose(j *job, left int) (*wire.MachineType, string, bool, bool) {
+func (c *Core) choose(j *job, left int, only string) (*wire.MachineType, string, bool, bool) {
 	inZone := map[string]int{}
-	for _, m := range c.machines {
+	for _, m := range c.order {
 		inZone[m.zone]++
 	}
 	var best *wire.MachineType
@@ -567,7 +623,7 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if j.spec.Zone != nil && *j.spec.Zone != z {
+			if (j.spec.Zone != nil && *j.spec.Zone != z) || (only != "" && z != only) {
 				continue
 			}
 			for _, s := range []bool{true, false} {
--- /dev/null
+++ b/internal/sched/ledger.go
@@ -0,0 +1,389 @@
+package sched
+
+import (
+	"fmt"
+	"sort"
+
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
+
+// Entry is one stored piece of the ledger: launches that were decided together,
+// and where. It is created once under a name that is never used again, so a
+// batch over any number of machines costs one write, and a copy of the same
+// transaction that comes late changes nothing. It is deleted once every launch
+// in it is proven gone.
+type Entry struct {
+	Hosts []EntryHost `msgpack:"H"`
+	Runs  []Run       `msgpack:"R"`
+}
+
+// EntryHost is a machine as it was known when the entry was stored.
+type EntryHost struct {
+	Host    string `msgpack:"H"`
+	Addr    string `msgpack:"A"`
+	Type    string `msgpack:"B"`
+	Zone    string `msgpack:"D"`
+	Spot    bool   `msgpack:"L"`
+	Session uint64 `msgpack:"S"`
+}
+
+// Run is the tasks of a job that an entry places on one of its machines.
+type Run struct {
+	Host    int     `msgpack:"H"`
+	Job     string  `msgpack:"J"`
+	Attempt uint64  `msgpack:"N"`
+	Tasks   []int32 `msgpack:"T"`
+}
+
+// entry is what the core keeps of a stored Entry.
+type entry struct {
+	name    string
+	live    map[*placement]struct{}
+	hosts   map[string]struct{}
+	listed  bool // queued for deletion
+	leaving bool // the batch under way deletes it
+	moving  bool // the batch under way takes its launches over
+}
+
+// Commit is a write-ahead batch: an entry to be created on condition that none
+// of the jobs has ended, and entries to be deleted with it.
+type Commit struct {
+	Name  string
+	Entry Entry
+	Jobs  []string
+	Drop  []string
+
+	placements []*placement // to be launched once the batch is stored
+	moved      []*placement // in the ledger already, or found on a machine
+}
+
+// Sizes count in the longer text form, estimated from above.
+func hostBytes(m *machine) int {
+	return 80 + len(m.host) + len(m.addr) + len(m.kind.Name) + len(m.zone)
+}
+
+const (
+	runBytes  = 100
+	taskBytes = 7
+)
+
+// batch collects the placements of one pass.
+type batch struct {
+	c          *Core
+	machines   map[*machine]bool
+	jobs       map[*job]bool
+	bytes      int
+	most       int // bytes of an entry
+	maxJobs    int
+	placements []*placement
+	moved      []*placement
+	drop       []string
+}
+
+func (c *Core) newBatch() *batch {
+	st := &c.set.Deployment.State
+	return &batch{c: c, machines: map[*machine]bool{}, jobs: map[*job]bool{},
+		// The condition on the term and the one on the entry's name come on top.
+		most: int(st.ValueKB * 1024 * 0.75), maxJobs: max(1, 4*st.TxnOps-2)}
+}
+
+// takes says whether the batch has room for k more tasks of the job on machines
+// that take hosts bytes of their own.
+func (b *batch) takes(j *job, hosts, runs, k int) bool {
+	return (b.jobs[j] || len(b.jobs) < b.maxJobs) && b.bytes+hosts+runs*runBytes+k*taskBytes <= b.most
+}
+
+func (b *batch) cost(m *machine) int {
+	if b.machines[m] {
+		return 0
+	}
+	return hostBytes(m)
+}
+
+// add takes tasks of one job on one machine.
+func (b *batch) add(ps ...*placement) {
+	p := ps[0]
+	b.bytes += b.cost(p.m) + runBytes + len(ps)*taskBytes
+	b.jobs[p.job], b.machines[p.m] = true, true
+	b.placements = append(b.placements, ps...)
+	if p.m.reserved == p.job {
+		p.m.reserved = nil
+	}
+}
+
+// keepBooks lets the batch delete entries that are spent and take over what is
+// left of those that name returned machines: a later overseer would otherwise
+// wait for machines that are gone.
+func (c *Core) keepBooks(b *batch) {
+	due := len(b.placements) > 0 || len(c.strays) > 0 || c.now-c.kept >= second
+	if !due {
+		return
+	}
+	c.kept = c.now
+	carry := func(p *placement) {
+		b.bytes += b.cost(p.m) + runBytes + taskBytes
+		b.machines[p.m] = true
+		b.moved = append(b.moved, p)
+	}
+	for _, p := range c.strays {
+		if _, ok := p.job.placements[p]; ok && p.entry == nil {
+			carry(p)
+		}
+	}
+	c.strays = nil
+	// Deletions count as changes: few go along with launches.
+	most := min(4, c.set.Deployment.State.TxnOps-1)
+	if c.set.Deployment.State.TxnOps > 1 && len(b.placements) == 0 {
+		most = max(1, c.set.Deployment.State.TxnOps/2)
+	}
+	for len(c.spent) > 0 && len(b.drop) < most {
+		e := c.spent[0]
+		c.spent = c.spent[1:]
+		e.leaving = true
+		b.drop = append(b.drop, e.name)
+	}
+	names := make([]string, 0, len(c.fragile))
+	for n := range c.fragile {
+		names = append(names, n)
+	}
+	if len(names) == 0 && len(c.entries) > maxEntries {
+		for n := range c.entries { // many small ones: a takeover reads them all
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		e := c.entries[n]
+		if e == nil || e.leaving || len(e.live) == 0 {
+			delete(c.fragile, n)
+			continue
+		}
+		if len(b.drop) >= most {
+			break
+		}
+		if b.bytes+len(e.live)*(runBytes+taskBytes+200) > b.most {
+			continue
+		}
+		delete(c.fragile, n)
+		e.leaving, e.moving = true, true
+		b.drop = append(b.drop, n)
+		for p := range e.live {
+			carry(p)
+		}
+	}
+}
+
+// maxEntries is how many entries the ledger holds before small ones are merged.
+const maxEntries = 400
+
+// close makes the batch a commit, or returns nil if there is nothing to store.
+func (c *Core) close(b *batch) *Commit {
+	if len(b.placements)+len(b.moved)+len(b.drop) == 0 {
+		return nil
+	}
+	c.seq++
+	cm := &Commit{Name: fmt.Sprintf("%016x.%08x", c.token, c.seq), placements: b.placements, moved: b.moved, Drop: b.drop}
+	cm.Entry = entryOf(append(append([]*placement{}, b.placements...), b.moved...))
+	for j := range b.jobs {
+		cm.Jobs = append(cm.Jobs, j.id)
+	}
+	sort.Strings(cm.Jobs)
+	sort.Strings(cm.Drop)
+	c.commit = cm
+	return cm
+}
+
+func entryOf(ps []*placement) Entry {
+	var e Entry
+	index := map[string]int{}
+	type key struct {
+		host, job string
+		attempt   uint64
+	}
+	runs := map[key]int{}
+	sort.Slice(ps, func(a, b int) bool {
+		x, y := ps[a], ps[b]
+		switch {
+		case x.m.host != y.m.host:
+			return x.m.host < y.m.host
+		case x.job.id != y.job.id:
+			return x.job.id < y.job.id
+		}
+		return x.task < y.task
+	})
+	for _, p := range ps {
+		i, ok := index[p.m.host]
+		if !ok {
+			i = len(e.Hosts)
+			index[p.m.host] = i
+			m := p.m
+			e.Hosts = append(e.Hosts, EntryHost{m.host, m.addr, m.kind.Name, m.zone, m.spot, p.session})
+		}
+		k := key{p.m.host, p.job.id, p.attempt}
+		r, ok := runs[k]
+		if !ok {
+			r = len(e.Runs)
+			runs[k] = r
+			e.Runs = append(e.Runs, Run{Host: i, Job: p.job.id, Attempt: p.attempt})
+		}
+		e.Runs[r].Tasks = append(e.Runs[r].Tasks, p.task)
+	}
+	return e
+}
+
+// Committed says that the batch is durable: its launches may be sent.
+func (c *Core) Committed(cm *Commit, now Micros) {
+	c.now = now
+	c.commit = nil
+	c.changed = true
+	e := c.newEntry(cm.Name)
+	for _, n := range cm.Drop {
+		delete(c.entries, n)
+		delete(c.fragile, n)
+	}
+	for _, p := range append(append([]*placement{}, cm.placements...), cm.moved...) {
+		if _, ok := p.job.placements[p]; ok {
+			p.entry = e
+			e.live[p] = struct{}{}
+		}
+	}
+	for _, h := range cm.Entry.Hosts {
+		e.hosts[h.Host] = struct{}{}
+		if _, gone := c.gone[h.Host]; gone {
+			c.fragile[cm.Name] = struct{}{}
+		}
+	}
+	for _, p := range cm.placements {
+		if _, ok := p.job.placements[p]; !ok {
+			continue
+		}
+		p.stored = true
+		c.Stats.Launches++
+		// The session changed or the machine left while the entry was being
+		// stored: the launch was never sent and never will be.
+		if p.m.session != p.session || p.m.lost || p.stop || p.job.over() {
+			c.free(p)
+		}
+	}
+	if len(e.live) == 0 && !e.listed {
+		c.spend(e)
+	}
+}
+
+// Refused says that the batch was not stored and never will be.
+func (c *Core) Refused(cm *Commit, now Micros) {
+	c.now = now
+	c.commit = nil
+	c.changed = true
+	for _, n := range cm.Drop {
+		e := c.entries[n]
+		if e == nil {
+			continue
+		}
+		e.leaving, e.listed = false, false
+		if len(e.live) == 0 {
+			c.spend(e)
+		} else if e.moving {
+			c.fragile[n] = struct{}{}
+		}
+		e.moving = false
+	}
+	for _, p := range cm.moved {
+		if p.entry == nil {
+			c.strays = append(c.strays, p)
+		}
+	}
+	for _, p := range cm.placements {
+		c.free(p)
+	}
+}
+
+func (c *Core) newEntry(name string) *entry {
+	e := &entry{name: name, live: map[*placement]struct{}{}, hosts: map[string]struct{}{}}
+	c.entries[name] = e
+	return e
+}
+
+// spend queues an entry without live launches for deletion.
+func (c *Core) spend(e *entry) {
+	if !e.leaving && !e.listed {
+		e.listed = true
+		c.spent = append(c.spent, e)
+	}
+}
+
+// strike takes a freed placement out of its entry.
+func (c *Core) strike(p *placement) {
+	if e := p.entry; e != nil {
+		delete(e.live, p)
+		p.entry = nil
+		if len(e.live) == 0 {
+			c.spend(e)
+		}
+	}
+}
+
+// Load takes the stored ledger at the start of a term, after the jobs. All its
+// launches count as on their machines until proof of the contrary.
+func (c *Core) Load(ledger map[string]Entry) {
+	names := make([]string, 0, len(ledger))
+	latest := map[string]uint64{}
+	for n, e := range ledger {
+		names = append(names, n)
+		for _, h := range e.Hosts {
+			latest[h.Host] = max(latest[h.Host], h.Session)
+		}
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		e := c.newEntry(n)
+		for _, r := range ledger[n].Runs {
+			if r.Host < 0 || r.Host >= len(ledger[n].Hosts) {
+				continue
+			}
+			h := ledger[n].Hosts[r.Host]
+			m := c.machines[h.Host]
+			if m == nil {
+				m = c.newMachine(h.Host, h.Addr, h.Type, h.Zone, h.Spot)
+				m.session, m.up = latest[h.Host], true
+			}
+			e.hosts[h.Host] = struct{}{}
+			j := c.jobs[r.Job]
+			// A job's record is deleted only after all its placements were
+			// proven gone, so a task of an unknown job is not on the machine.
+			// Neither is one of an earlier session than the ledger has seen.
+			if j == nil || h.Session < m.session {
+				continue
+			}
+			for _, t := range r.Tasks {
+				if int(t) >= j.spec.Tasks || t < 0 || m.find(taskKey{j, t}, r.Attempt) != nil {
+					continue
+				}
+				p := c.place(j, t, m, r.Attempt)
+				p.stored, p.loaded, p.entry = true, true, e
+				e.live[p] = struct{}{}
+			}
+			if j.gang() && r.Attempt > j.attempt {
+				j.attempt = r.Attempt
+			}
+		}
+		if len(e.live) == 0 {
+			c.spend(e)
+		}
+	}
+}
+
+// Attempts of a pass: later ones are always larger, over terms too.
+func (c *Core) attempt() uint64 {
+	c.seq++
+	return c.token<<20 + c.seq
+}
+
+// maxOnMachine bounds the tasks on a machine, so that a report and its answer
+// stay well within the limits for bodies.
+const maxOnMachine = wire.MaxBody / 160
+
+// expiry is when a lease must have run out: the workers' clocks may be 0.05%
+// slow, and ours fast.
+func (c *Core) expiry() Micros { return c.lease + c.lease/1000 + config.Second/2 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -40,6 +40,8 @@
 	taskKey
 	attempt uint64
 	m       *machine
+	session uint64 // of the worker, when it was placed
+	entry   *entry // where it is stored
 
 	stored  bool // the write-ahead record is durable
 	loaded  bool // from a record of an earlier term: never launched again
@@ -86,6 +88,7 @@
 	errorHosts map[string]bool
 	waitSince  Micros // since when something waits, 0 if nothing does
 	evictions  int
+	noRoomTill Micros // nothing could be cleared for it; not tried again before
 	first      Micros // when a task was first seen running
 	savedRun   Micros // progress saved by stops, per task at most
 
@@ -259,12 +262,11 @@
 	n              int
 	cpus, gpus     float64
 	mem            float64
-	version        uint64 // of the stored record
-	recorded       bool
 	images         map[string]Micros // images believed present, by last use
 	idleSince      Micros
 	reserved       *job
 	reservedTill   Micros
+	reservedFor    Micros // when that job is expected to use it, 0 at once
 	checkpoints    int
 	fetchingImages map[string]Micros
 }
@@ -302,18 +304,27 @@
 
 	lease      Micros
 	evictAfter Micros
-	maxPer     int // placements per machine record
+
+	order   []*machine // all, by name
+	open    []*machine // those that may get launches in this pass
+	changed bool       // something happened that a pass may use
+
+	// the ledger
+	entries map[string]*entry
+	spent   []*entry            // nothing of them is left
+	fragile map[string]struct{} // they name returned machines
+	strays  []*placement        // found on machines, not in any entry
+	kept    Micros              // when the books were last kept
+	ranks   [4]int              // placements by their jobs' rank
 
 	ends     []string
 	forget   []string
-	dropHost []string
 	direct   []Direct
 	commit   *Commit
 	gpus     gpuView
 	refused  map[string]Micros // type/zone/spot without capacity, until
-	backoff  map[string]Micros
-	hiring   map[string]int // machines asked for, by type
-	bwWrite  float64        // GB/s
+	hiring   map[string]int    // machines asked for, by type
+	bwWrite  float64           // GB/s
 	bwRead   float64
 	log      func(msg string, args ...any)
 	listedAt Micros
@@ -338,10 +349,10 @@
 		set: set, now: now, since: now, token: token,
 		types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{}, gone: map[string]Micros{},
 		teams: map[string]*team{}, classes: map[string]*class{},
-		refused: map[string]Micros{}, backoff: map[string]Micros{}, hiring: map[string]int{},
+		entries: map[string]*entry{}, fragile: map[string]struct{}{},
+		refused: map[string]Micros{}, hiring: map[string]int{},
 		lease:      config.Micro(set.Deployment.Workers.LeaseS),
 		evictAfter: config.Micro(*set.Operator.EvictAfterS),
-		maxPer:     max(1, int(set.Deployment.State.ValueKB*1024/64)-8),
 		bwWrite:    *set.Operator.CheckpointMBS / 1000,
 		bwRead:     *set.Operator.CheckpointMBS / 1000,
 		log:        log,
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"fmt"
 	"math"
 	"sort"
 
@@ -9,23 +8,6 @@
 	"dalefront/wire"
 )
 
-// Commit is a write-ahead batch: the records of the machines that get new
-// tasks, conditional on none of the jobs having ended.
-type Commit struct {
-	Hosts []HostRecord
-	Jobs  []string
-
-	placements []*placement
-	mark       string
-}
-
-// HostRecord is one machine's record and the version that it replaces.
-type HostRecord struct {
-	Host    string
-	Version uint64
-	Record  Record
-}
-
 // usable says whether the machine may get launches now. Only a machine whose
 // worker has confirmed this term's token in its present session is known well
 // enough.
@@ -112,31 +94,41 @@
 	return s
 }
 
-// find returns the best machine for a task now.
+// findMachine returns the best machine for a task now.
 func (c *Core) findMachine(j *job, zones map[string]int, only string) *machine {
 	var best *machine
 	bestScore := math.Inf(1)
-	for _, m := range c.machines {
-		if (only != "" && m.zone != only) || !allowed(j, m) || !room(j, m, 1) || !c.usable(m) || m.n >= c.maxPer || !zoneOK(j, zones, m.zone) {
-			continue
-		}
-		if j.spec.GPUs == 0 && m.kind.GPUs > 0 && !c.mayBlockGPUs(j, m) {
-			continue
-		}
-		if m.reserved != nil && m.reserved != j && c.now < m.reservedTill && m.reserved.rank >= j.rank && !m.reserved.over() {
+	for _, m := range c.open { // in the order of their names
+		if (only != "" && m.zone != only) || !c.takesMore(j, m, zones) || c.heldFrom(j, m) {
 			continue
 		}
 		s := c.score(j, m)
 		if j.errorHosts[m.host] {
 			s += 300
 		}
-		if s < bestScore || (s == bestScore && m.host < best.host) {
+		if s < bestScore {
 			best, bestScore = m, s
 		}
 	}
 	return best
 }
 
+// takesMore says whether a usable machine may take another task of the job.
+func (c *Core) takesMore(j *job, m *machine, zones map[string]int) bool {
+	return room(j, m, 1) && allowed(j, m) && m.n < maxOnMachine && zoneOK(j, zones, m.zone) &&
+		(j.spec.GPUs > 0 || m.kind.GPUs == 0 || c.mayBlockGPUs(j, m))
+}
+
+// heldFrom says whether the machine is kept for another job. A task that is
+// expected to be gone before that job can use it may run in the meantime.
+func (c *Core) heldFrom(j *job, m *machine) bool {
+	r := m.reserved
+	if r == nil || r == j || c.now >= m.reservedTill || r.rank < j.rank || r.over() {
+		return false
+	}
+	return m.reservedFor == 0 || j.spec.EstimateS == 0 || c.now+j.estimate()+Micros(c.fetch(j, m)*float64(second)) > m.reservedFor
+}
+
 // gpuView sums up, once a pass, what graphics tasks need.
 type gpuView struct {
 	any       bool
@@ -162,10 +154,8 @@
 	for _, j := range queue {
 		v.waiting += float64(j.pending()) * j.spec.GPUs
 	}
-	for _, m := range c.machines {
-		if c.usable(m) {
-			v.free += max(0, m.kind.GPUs-m.gpus)
-		}
+	for _, m := range c.open {
+		v.free += max(0, m.kind.GPUs-m.gpus)
 	}
 	c.gpus = v
 }
@@ -212,10 +202,8 @@
 		start        Micros
 	}
 	cpus := 0.0
-	for _, m := range c.machines {
-		if c.usable(m) {
-			cpus += m.kind.CPUs
-		}
+	for _, m := range c.open {
+		cpus += m.kind.CPUs
 	}
 	keys := make(map[*job]key, len(q))
 	for _, j := range q {
@@ -244,11 +232,6 @@
 	return q
 }
 
-func (c *Core) attempt() uint64 {
-	c.seq++
-	return c.token<<20 + c.seq
-}
-
 // Schedule places what waits and returns a batch to be stored, or nil. Only one
 // batch is outstanding at a time.
 func (c *Core) Schedule(now Micros) *Commit {
@@ -257,8 +240,8 @@
 	if c.commit != nil {
 		return nil
 	}
-	b := &batch{c: c, machines: map[*machine]bool{}, jobs: map[*job]bool{},
-		maxMachines: max(1, c.set.Deployment.State.TxnOps), maxJobs: max(1, 3*c.set.Deployment.State.TxnOps-1)}
+	b := c.newBatch()
+	c.look()
 	queue := c.queue()
 	c.viewGPUs(queue)
 	for _, j := range queue {
@@ -271,51 +254,28 @@
 			c.placeTasks(j, b)
 		}
 	}
-	if len(b.placements) == 0 {
-		return nil
-	}
-	c.seq++
-	cm := &Commit{placements: b.placements, mark: fmt.Sprintf("%d.%d", c.token, c.seq)}
-	for m := range b.machines {
-		r := c.record(m)
-		r.Mark = cm.mark
-		cm.Hosts = append(cm.Hosts, HostRecord{m.host, m.version, r})
-	}
-	sort.Slice(cm.Hosts, func(a, b int) bool { return cm.Hosts[a].Host < cm.Hosts[b].Host })
-	for j := range b.jobs {
-		cm.Jobs = append(cm.Jobs, j.id)
-	}
-	sort.Strings(cm.Jobs)
-	c.commit = cm
-	return cm
-}
-
-type batch struct {
-	c           *Core
-	machines    map[*machine]bool
-	jobs        map[*job]bool
-	maxMachines int
-	maxJobs     int
-	placements  []*placement
+	c.keepBooks(b)
+	return c.close(b)
 }
 
-func (b *batch) takes(j *job, m *machine) bool {
-	return (b.jobs[j] || len(b.jobs) < b.maxJobs) && (b.machines[m] || len(b.machines) < b.maxMachines)
-}
-
-func (b *batch) add(p *placement) {
-	b.jobs[p.job], b.machines[p.m] = true, true
-	b.placements = append(b.placements, p)
-	if p.m.reserved == p.job {
-		p.m.reserved = nil
+// look lists the machines that may get launches in this pass. Nothing that
+// happens within a pass changes which these are.
+func (c *Core) look() {
+	c.open = c.open[:0]
+	for _, m := range c.order {
+		if c.usable(m) {
+			c.open = append(c.open, m)
+		}
 	}
 }
 
+// placeTasks fills machine after machine: the best one for a task is also the
+// best for the job's next one, since it only gets fuller.
 func (c *Core) placeTasks(j *job, b *batch) {
 	zones := j.zones()
+	attempt := uint64(0)
 	for {
-		t, ok := j.next()
-		if !ok {
+		if _, ok := j.next(); !ok {
 			return
 		}
 		if !j.team.allows(j.spec.CPUs, j.spec.GPUs) {
@@ -326,11 +286,22 @@
 			c.makeRoom(j)
 			return
 		}
-		if !b.takes(j, m) {
-			return
+		if attempt == 0 {
+			attempt = c.attempt()
 		}
-		b.add(c.place(j, t, m, c.attempt()))
-		zones[m.zone]++
+		var got []*placement
+		for b.takes(j, b.cost(m), 1, len(got)+1) && c.takesMore(j, m, zones) && j.team.allows(j.spec.CPUs, j.spec.GPUs) {
+			t, ok := j.next()
+			if !ok {
+				break
+			}
+			got = append(got, c.place(j, t, m, attempt))
+			zones[m.zone]++
+		}
+		if len(got) == 0 {
+			return // the batch is full
+		}
+		b.add(got...)
 	}
 }
 
@@ -352,133 +323,119 @@
 		}
 	}
 	missing := j.pending()
-	if missing > b.c.set.Deployment.State.TxnOps*c.maxPer || !j.team.allows(float64(missing)*j.spec.CPUs, float64(missing)*j.spec.GPUs) {
+	if !j.team.allows(float64(missing)*j.spec.CPUs, float64(missing)*j.spec.GPUs) {
 		return
 	}
-	zones := []string{""}
-	if j.spec.OneZone {
-		zones = c.zonesByRoom(j)
+	for _, z := range c.gangZones(j, missing) {
+		if c.placeGangIn(j, z, b) {
+			return
+		}
 	}
+	c.makeRoomForGang(j, missing)
+}
+
+// placeGangIn places the missing tasks in a zone, or anywhere if it is empty.
+func (c *Core) placeGangIn(j *job, zone string, b *batch) bool {
+	before := j.attempt
 	if j.attempt == 0 {
 		j.attempt = c.attempt()
 	}
-	for _, z := range zones {
-		var got []*placement
-		used := j.zones()
-		fits := true
-		machines := map[*machine]bool{}
-		for t := int32(0); t < int32(j.spec.Tasks) && fits; t++ {
-			if j.count[t] > 0 {
-				continue
-			}
-			m := c.findMachine(j, used, z)
-			if m != nil {
-				machines[m] = true
-			}
-			if m == nil || !b.takes(j, m) || len(machines) > b.maxMachines-len(b.machines) && !b.machines[m] {
-				fits = false
-				break
-			}
-			got = append(got, c.place(j, t, m, j.attempt))
-			used[m.zone]++
+	got := map[*machine][]*placement{}
+	var order []*machine
+	used := j.zones()
+	hosts, n, fits := 0, 0, true
+	for t := int32(0); t < int32(j.spec.Tasks); t++ {
+		if j.count[t] > 0 {
+			continue
 		}
-		if fits {
-			for _, p := range got {
-				b.add(p)
-			}
-			return
+		m := c.findMachine(j, used, zone)
+		if m == nil {
+			fits = false
+			break
 		}
-		attempt := j.attempt
-		for _, p := range got {
-			c.free(p)
+		if got[m] == nil {
+			order = append(order, m)
+			hosts += b.cost(m)
 		}
-		j.attempt = attempt
-	}
-	c.makeRoom(j)
-}
-
-// zonesByRoom lists the zones for a one-zone job, the one with most room first.
-func (c *Core) zonesByRoom(j *job) []string {
-	roomIn := map[string]float64{}
-	for _, m := range c.machines {
-		if allowed(j, m) && c.usable(m) && room(j, m, 1) {
-			roomIn[m.zone] += m.kind.CPUs - m.cpus + 1/(1+c.score(j, m))
+		if n++; !b.takes(j, hosts, len(order), n) {
+			fits = false
+			break
 		}
+		got[m] = append(got[m], c.place(j, t, m, j.attempt))
+		used[m.zone]++
 	}
-	zs := make([]string, 0, len(roomIn))
-	for z := range roomIn {
-		zs = append(zs, z)
-	}
-	sort.Slice(zs, func(a, b int) bool {
-		if j.spec.Tasks == 1 { // a lone task goes where it starts first
-			ma, mb := c.findMachine(j, nil, zs[a]), c.findMachine(j, nil, zs[b])
-			if ma != nil && mb != nil && c.score(j, ma) != c.score(j, mb) {
-				return c.score(j, ma) < c.score(j, mb)
-			}
+	if fits {
+		for _, m := range order {
+			b.add(got[m]...)
 		}
-		if roomIn[zs[a]] != roomIn[zs[b]] {
-			return roomIn[zs[a]] > roomIn[zs[b]]
+		return true
+	}
+	attempt := j.attempt
+	for _, m := range order {
+		for _, p := range got[m] {
+			c.free(p)
 		}
-		return zs[a] < zs[b]
-	})
-	return zs
+	}
+	if j.attempt = attempt; before == 0 {
+		j.attempt = 0
+	}
+	return false
 }
 
-// Committed says that the batch is durable: its launches may be sent.
-func (c *Core) Committed(cm *Commit, revision uint64, now Micros) {
-	c.now = now
-	c.commit = nil
-	for _, h := range cm.Hosts {
-		m := c.machines[h.Host]
-		if m == nil {
+// gangZones lists the zones that have room for all missing tasks, the one where
+// they would rather be first; a job without a zone rule gets the empty one.
+func (c *Core) gangZones(j *job, missing int) []string {
+	used := j.zones()
+	room, like := map[string]int{}, map[string]float64{}
+	for _, m := range c.open {
+		n := c.slotsOn(j, m, used)
+		if n == 0 {
 			continue
 		}
-		m.version, m.recorded = revision, true
-	}
-	for _, p := range cm.placements {
-		if _, ok := p.job.placements[p]; !ok {
-			continue
+		z := m.zone
+		if !j.spec.OneZone {
+			z = ""
 		}
-		p.stored = true
-		c.Stats.Launches++
-		// The session changed or the machine left while the record was being
-		// stored: the launch was never sent and never will be.
-		if p.m.session != sessionIn(cm, p.m.host) || p.m.lost || p.stop || p.job.over() {
-			c.free(p)
+		room[z] += n
+		like[z] += float64(n) / (1 + c.score(j, m))
+	}
+	var zs []string
+	for z, n := range room {
+		if n >= missing {
+			zs = append(zs, z)
 		}
 	}
-}
-
-func sessionIn(cm *Commit, host string) uint64 {
-	for _, h := range cm.Hosts {
-		if h.Host == host {
-			return h.Record.Session
+	sort.Slice(zs, func(a, b int) bool {
+		if like[zs[a]] != like[zs[b]] {
+			return like[zs[a]] > like[zs[b]]
+		}
+		return zs[a] < zs[b]
+	})
+	if j.spec.Tasks == 1 && len(zs) > 1 { // a lone task goes where it starts first
+		if m := c.findMachine(j, used, ""); m != nil {
+			zs = []string{m.zone}
 		}
 	}
-	return 0
+	return zs
 }
 
-// Refused says that the batch was not stored and never will be.
-func (c *Core) Refused(cm *Commit, now Micros) {
-	c.now = now
-	c.commit = nil
-	for _, p := range cm.placements {
-		c.free(p)
+// slotsOn is how many tasks of the job the machine could take now.
+func (c *Core) slotsOn(j *job, m *machine, used map[string]int) int {
+	if !room(j, m, 1) || !c.takesMore(j, m, used) || c.heldFrom(j, m) {
+		return 0
 	}
-}
-
-// SetVersion corrects the version of a machine's record after a conflict.
-func (c *Core) SetVersion(host string, version uint64) {
-	if m := c.machines[host]; m != nil {
-		m.version = version
+	n := min(slots(j, m.kind, m.cpus, m.gpus, m.mem), maxOnMachine-m.n)
+	if j.spec.Spread {
+		n = min(n, (j.spec.Tasks+1)/2-used[m.zone])
 	}
+	return n
 }
 
 // tend looks after machines and tasks as time passes.
 func (c *Core) tend() {
-	expiry := c.lease + c.lease/1000 + second/2 // the workers' clocks may be 0.05% slow, and ours fast
+	expiry := c.expiry()
 	pushes := 0
-	for _, m := range c.machines {
+	for _, m := range c.order {
 		if m.up && !m.confirmed && !m.lost && !m.returning && m.addr != "" && m.session > 0 && pushes < 16 &&
 			c.now-c.since > 2*second && c.now-m.pushed > 2*second {
 			// It may still report to an older overseer that is cut off from us
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -1,25 +1,13 @@
 package sched
 
 import (
+	"slices"
 	"sort"
-	"strconv"
-	"strings"
 
 	"dalefront/internal/config"
 	"dalefront/wire"
 )
 
-// Record is the stored account of what may be on a machine.
-type Record struct {
-	Addr    string   `msgpack:"A"`
-	Type    string   `msgpack:"B"`
-	Zone    string   `msgpack:"D"`
-	Spot    bool     `msgpack:"L"`
-	Session uint64   `msgpack:"S"`
-	Tasks   []string `msgpack:"T"` // "task attempt"
-	Mark    string   `msgpack:"M"` // tells one write from another
-}
-
 func (c *Core) newMachine(host, addr, typ, zone string, spot bool) *machine {
 	t := c.types[typ]
 	if t == nil {
@@ -29,44 +17,24 @@
 	m := &machine{slow: 1, host: host, addr: addr, kind: t, zone: zone, spot: spot, born: c.now, idleSince: c.now,
 		tasks: map[taskKey][]*placement{}, images: map[string]Micros{}, fetchingImages: map[string]Micros{}, errJobs: map[string]bool{}}
 	c.machines[host] = m
+	i := sort.Search(len(c.order), func(k int) bool { return c.order[k].host >= host })
+	c.order = slices.Insert(c.order, i, m)
 	return m
 }
 
-// LoadMachine takes a stored record at the start of a term. All its tasks count
-// as on the machine until proof of the contrary.
-func (c *Core) LoadMachine(host string, r Record, version uint64) {
-	m := c.newMachine(host, r.Addr, r.Type, r.Zone, r.Spot)
-	m.version, m.session, m.recorded, m.up = version, r.Session, true, true
-	for _, s := range r.Tasks {
-		name, att, _ := strings.Cut(s, " ")
-		id, t, ok := wire.ParseTask(name)
-		attempt, err := strconv.ParseUint(att, 10, 64)
-		j := c.jobs[id]
-		// A job's record is deleted only after all its placements were proven
-		// gone, so a task of an unknown job is not on the machine.
-		if !ok || err != nil || j == nil || int(t) >= j.spec.Tasks {
-			continue
-		}
-		p := c.place(j, t, m, attempt)
-		p.stored, p.loaded = true, true
-		if j.gang() && attempt > j.attempt {
-			j.attempt = attempt
-		}
+func (c *Core) dropMachine(m *machine) {
+	delete(c.machines, m.host)
+	if i := slices.Index(c.order, m); i >= 0 {
+		c.order = slices.Delete(c.order, i, i+1)
+	}
+	if i := slices.Index(c.open, m); i >= 0 {
+		c.open = slices.Delete(c.open, i, i+1)
 	}
-}
-
-func (c *Core) record(m *machine) Record {
-	r := Record{Addr: m.addr, Type: m.kind.Name, Zone: m.zone, Spot: m.spot, Session: m.session}
-	m.each(func(p *placement) {
-		r.Tasks = append(r.Tasks, wire.TaskName(p.job.id, p.task)+" "+strconv.FormatUint(p.attempt, 10))
-	})
-	sort.Strings(r.Tasks)
-	return r
 }
 
 // place books a task on a machine.
 func (c *Core) place(j *job, t int32, m *machine, attempt uint64) *placement {
-	p := &placement{taskKey: taskKey{j, t}, attempt: attempt, m: m, placed: c.now}
+	p := &placement{taskKey: taskKey{j, t}, attempt: attempt, m: m, session: m.session, placed: c.now}
 	m.tasks[p.taskKey] = append(m.tasks[p.taskKey], p)
 	m.n++
 	m.cpus += j.spec.CPUs
@@ -76,6 +44,7 @@
 	j.team.gpus += j.spec.GPUs
 	j.placements[p] = struct{}{}
 	j.count[t]++
+	c.ranks[j.rank]++
 	return p
 }
 
@@ -87,6 +56,9 @@
 		return
 	}
 	delete(j.placements, p)
+	c.changed = true
+	c.ranks[j.rank]--
+	c.strike(p)
 	ps := m.tasks[p.taskKey]
 	for i := range ps {
 		if ps[i] == p {
@@ -180,6 +152,9 @@
 	if !m.confirmed && m.n == 0 {
 		m.idleSince = now
 	}
+	if !m.confirmed {
+		c.changed = true
+	}
 	m.session, m.seq, m.lastHello, m.confirmed = r.Session, r.Seq, now, true
 	m.recallAt = 0
 	if r.NoticeS != nil {
@@ -220,6 +195,7 @@
 			// Not in the books: it occupies its place all the same until it is gone.
 			p = c.place(j, num, m, t.Attempt)
 			p.stored = true
+			c.strays = append(c.strays, p)
 			if c.stray(p) {
 				p.stop = true
 			}
@@ -372,14 +348,22 @@
 	if c.commit == nil {
 		return false
 	}
-	for _, h := range c.commit.Hosts {
-		if h.Host == host {
+	for _, p := range c.commit.placements {
+		if p.m.host == host {
 			return true
 		}
 	}
 	return false
 }
 
+// Changed says whether something happened since the last call that a pass may
+// make use of.
+func (c *Core) Changed() bool {
+	x := c.changed
+	c.changed = false
+	return x
+}
+
 // Launches returns the launches that the machine's worker should get now.
 func (c *Core) Launches(host string) []wire.Order {
 	var a wire.ReportAnswer
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"encoding/json"
 	"slices"
 	"testing"
 
@@ -38,11 +39,15 @@
 	return b.Report(&wire.Report{Host: host, Addr: host, Type: typ, Zone: zone, Session: session, Seq: b.seq, Token: 7, Tasks: tasks}, b.now)
 }
 
-// schedule runs a pass and stores its batch.
+// schedule runs a pass and stores its batch; nil says that it launches nothing.
 func (b *bed) schedule() *Commit {
 	cm := b.Schedule(b.now)
-	if cm != nil {
-		b.Committed(cm, 100+b.seq, b.now)
+	if cm == nil {
+		return nil
+	}
+	b.Committed(cm, b.now)
+	if len(cm.placements) == 0 {
+		return nil
 	}
 	return cm
 }
@@ -291,7 +296,8 @@
 func TestUnconfirmedWorker(t *testing.T) {
 	b := newBed(t, config.Team{Name: "a"})
 	b.AddJob(spec("j-1", "a", wire.Normal, 1, 8), b.now, b.now)
-	b.LoadMachine("n-1", Record{Addr: "n-1", Type: "s", Zone: "x", Session: 1, Tasks: []string{"j-1/0 5"}}, 3)
+	b.Load(map[string]Entry{"e": {Hosts: []EntryHost{{Host: "n-1", Addr: "n-1", Type: "s", Zone: "x", Session: 1}},
+		Runs: []Run{{Host: 0, Job: "j-1", Attempt: 5, Tasks: []int32{0}}}}})
 	b.report("n-2", "s", "x", 1)
 	pushed := 0
 	for i := 0; i < 40; i++ {
@@ -431,10 +437,10 @@
 	}
 	b.report("n-1", "s", "x", 1)
 	cm := b.schedule()
-	if cm == nil || len(cm.Hosts) != 1 {
+	if cm == nil || len(cm.Entry.Hosts) != 1 {
 		t.Fatal("nothing placed")
 	}
-	if v, _ := wire.Marshal(cm.Hosts[0].Record); len(v) > 16<<10 {
-		t.Errorf("a record of %d bytes", len(v))
+	if v, _ := json.Marshal(cm.Entry); len(v) > 16<<10 {
+		t.Errorf("an entry of %d bytes", len(v))
 	}
 }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -64,11 +64,6 @@
 	at int64
 }
 
-type stored struct {
-	rec     sched.Record
-	version uint64
-}
-
 // World is the simulated outside and the core under test.
 type World struct {
 	Rng     *rand.Rand
@@ -90,7 +85,7 @@
 	ends     map[string]string
 	endAt    map[string]int64
 	chunks   map[string]map[int]string
-	hosts    map[string]stored
+	ledger   map[string]sched.Entry
 
 	commit   *sched.Commit
 	commitAt int64
@@ -108,7 +103,7 @@
 	w := &World{
 		Rng: rand.New(rand.NewPCG(seed, 1)), Now: 1_000 * second, Set: set, Catalog: cat,
 		workers: map[string]*worker{}, jobs: map[string]wire.Job{}, arrived: map[string]int64{}, ends: map[string]string{},
-		endAt: map[string]int64{}, chunks: map[string]map[int]string{}, hosts: map[string]stored{},
+		endAt: map[string]int64{}, chunks: map[string]map[int]string{}, ledger: map[string]sched.Entry{},
 		completed: map[string]map[string]bool{}, forgotten: map[string]bool{},
 	}
 	w.Takeover()
@@ -135,9 +130,7 @@
 			c.SetProgress(id, i, t)
 		}
 	}
-	for _, h := range keys(w.hosts) {
-		c.LoadMachine(h, w.hosts[h].rec, w.hosts[h].version)
-	}
+	c.Load(w.ledger)
 	for _, id := range keys(w.jobs) {
 		if st := w.ends[id]; st != "" {
 			c.Ended(id, st, w.endAt[id], w.Now)
@@ -157,19 +150,17 @@
 
 // apply runs a commit's transaction and says whether it held.
 func (w *World) apply(cm *sched.Commit) bool {
-	for _, h := range cm.Hosts {
-		if w.hosts[h.Host].version != h.Version {
-			return false
-		}
-	}
 	for _, id := range cm.Jobs {
 		if w.ends[id] != "" {
 			return false
 		}
 	}
 	w.revision++
-	for _, h := range cm.Hosts {
-		w.hosts[h.Host] = stored{h.Record, w.revision}
+	if len(cm.Entry.Runs) > 0 {
+		w.ledger[cm.Name] = cm.Entry
+	}
+	for _, n := range cm.Drop {
+		delete(w.ledger, n)
 	}
 	return true
 }
@@ -455,7 +446,7 @@
 		cm := w.commit
 		w.commit = nil
 		if w.Rng.IntN(20) > 0 && w.apply(cm) {
-			c.Committed(cm, w.revision, w.Now)
+			c.Committed(cm, w.Now)
 		} else {
 			for _, id := range cm.Jobs {
 				if w.ends[id] != "" {
@@ -511,9 +502,6 @@
 			}
 		}
 	}
-	for _, h := range c.DroppedHosts() {
-		delete(w.hosts, h)
-	}
 	if w.Rng.IntN(10) == 0 {
 		if back := c.Returns(w.Now, c.Blind(w.Now)); len(back) > 0 {
 			for _, h := range back {
