--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,6 +47,7 @@
 	Class   string  `toml:"class"`
 	WithinS float64 `toml:"within_s"`
 	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"` // of the deadline
 }
 
 // Workers holds the workers' timings.
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -401,6 +401,9 @@
 		r.lastLog = now
 		jobs, tasks := r.core.Waiting()
 		n.log.Info("overseer", "waiting_jobs", jobs, "waiting_tasks", tasks, "stats", fmt.Sprintf("%+v", r.core.Stats))
+		for _, w := range r.core.Waits(3) {
+			n.log.Info("waits", "job", w.Job, "class", w.Class, "team", w.Team, "tasks", w.Tasks, "age_us", w.Age, "why", w.Why, "room", w.Room, "held", w.Held)
+		}
 	}
 }
 
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -79,8 +79,8 @@
 		placements: map[*placement]struct{}{}, count: map[int32]int{}, waitSince: now,
 	}
 	j.due = j.arrival + 600*second
-	if cl.finish > 0 {
-		j.due = j.arrival + cl.finish
+	if len(cl.finishes) > 0 {
+		j.due = j.arrival + cl.finishes[0]
 	}
 	if spec.DeadlineS != nil {
 		j.due = j.arrival + config.Micro(*spec.DeadlineS)
@@ -176,6 +176,10 @@
 	if p.stop && (checkpoint || !p.checkpoint) {
 		return
 	}
+	if !p.stop {
+		p.job.team.leavingCPUs += p.job.spec.CPUs
+		p.job.team.leavingGPUs += p.job.spec.GPUs
+	}
 	p.stop, p.checkpoint = true, checkpoint
 	p.queued = checkpoint && !p.job.gang() && p.m.saving(p)
 	if !p.queued {
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -58,15 +58,28 @@
 }
 
 // evictable applies the protocol's "Preemption": lower priority, or work beyond
-// its team's guarantee when the claimant's team is within its own.
+// its team's guarantee when the claimant's team stays within its own. A gang
+// that is mostly within is left alone: its team would claim that back, and two
+// teams would go on stopping each other's work.
 func (c *Core) evictable(p *placement, j *job) bool {
-	if p.stop || !p.stored || p.job == j || p.job.over() {
+	v := p.job
+	if p.stop || !p.stored || v == j || v.over() {
 		return false
 	}
-	if p.job.rank < j.rank {
+	if v.rank < j.rank {
 		return true
 	}
-	return p.job.team != j.team && p.job.team.beyond() && j.team.guarantees(j.spec.CPUs, j.spec.GPUs)
+	if v.team == j.team || !v.team.beyond() {
+		return false
+	}
+	n, k := 1.0, 1.0
+	if j.gang() {
+		n = float64(j.pending())
+	}
+	if v.gang() {
+		k = float64(len(v.placements))
+	}
+	return j.team.guarantees(n*j.spec.CPUs, n*j.spec.GPUs) && v.team.spares(k*v.spec.CPUs, k*v.spec.GPUs)
 }
 
 const maxEvictions = 3
@@ -84,7 +97,11 @@
 	if lower > 0 {
 		return true
 	}
-	if !j.team.guarantees(j.spec.CPUs, j.spec.GPUs) {
+	n := 1.0
+	if j.gang() {
+		n = float64(j.pending())
+	}
+	if !j.team.guarantees(n*j.spec.CPUs, n*j.spec.GPUs) {
 		return false
 	}
 	for _, t := range c.teams {
@@ -151,6 +168,9 @@
 	longest := Micros(0)
 	queue := Micros(0)
 	for _, v := range best {
+		if v.tasks[0].stop {
+			continue // it goes already, for another machine of the same choice
+		}
 		c.Stats.Evictions += len(v.tasks)
 		if v.checkpoint {
 			c.Stats.Checkpoints++
@@ -180,6 +200,25 @@
 	cost    Micros
 }
 
+// planEvery is how often it is decided anew which machines are kept for gangs.
+const planEvery = second
+
+// plan says whether this pass decides which machines are kept for waiting gangs.
+func (c *Core) plan() bool {
+	if c.now-c.planned < planEvery {
+		return false
+	}
+	c.planned = c.now
+	return true
+}
+
+// waitedFor says whether the machine is kept for a gang that waits for it, and
+// that has not had its turn in this plan: one that is served before may have it.
+// Until then the machine stays kept, or small tasks would take it in between.
+func (c *Core) waitedFor(m *machine) bool {
+	return m.reservedFor > 0 && m.heldAt < c.planned
+}
+
 // makeRoomForGang finds the machines on which a waiting gang could start with
 // the least cost, in one zone if it must, and keeps them for it: those with
 // room, those where tasks end soon, and those where the paper's rule finds
@@ -187,16 +226,14 @@
 // tasks keep filling. Two gangs never hold part of what the other needs: what is
 // kept for one isn't looked at for the next.
 func (c *Core) makeRoomForGang(j *job, missing int) {
-	if c.now < j.noRoomTill {
-		return
-	}
 	used := j.zones()
 	may := c.mayEvict(j)
 	ways := map[string][]way{}
-	held := 0
 	for _, m := range c.open {
-		if m.reserved != nil && m.reserved != j && c.now < m.reservedTill {
-			held++
+		if m.reserved == j && m.reservedFor > 0 {
+			m.reserved = nil // chosen anew
+		}
+		if r := m.reserved; r != nil && r != j && c.now < m.reservedTill && r.rank >= j.rank && !c.waitedFor(m) {
 			continue
 		}
 		if !allowed(j, m) || !zoneOK(j, used, m.zone) || slots(j, m.kind, 0, 0, 0) == 0 {
@@ -232,19 +269,16 @@
 			best, bestCost = ws[:k], cost
 		}
 	}
-	if best == nil {
-		j.noRoomTill = c.now + noRoom
-		return
-	}
-	// Soft point: no guest's huge job holds or clears more than part of the
-	// machines, but a gang that needs more could never start otherwise.
-	if limit := max(1, len(c.open)/2); held > 0 && held+len(best) > limit {
-		j.noRoomTill = c.now + noRoom
-		return
-	}
-	start := Micros(0)
+	start, cleared := Micros(0), 0
 	for _, w := range best {
 		start = max(start, w.after)
+		if len(w.victims) > 0 {
+			cleared++
+		}
+	}
+	// Soft point: a guest's huge job would evict almost everything.
+	if cleared > max(1, len(c.open)/2) {
+		return
 	}
 	for _, w := range best {
 		if len(w.victims) > 0 {
@@ -252,10 +286,9 @@
 			w.m.reservedTill += start
 			continue
 		}
-		w.m.reserved, w.m.reservedFor = j, c.now+start
+		w.m.reserved, w.m.reservedFor, w.m.heldAt = j, c.now+max(start, 1), c.now
 		w.m.reservedTill = c.now + start + 5*second
 	}
-	j.noRoomTill = c.now + noRoom
 }
 
 // wayOn says how the machine could take tasks of a gang: now, by waiting, or by
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -249,7 +249,7 @@
 		if cl.sample == nil || cl.sample.spec.Shape == wire.Service {
 			continue
 		}
-		if cl.wait == 0 && !(guarantee && (cl.sample.team.CPUs > 0 || cl.sample.team.GPUs > 0)) {
+		if len(cl.waits) == 0 && !(guarantee && (cl.sample.team.CPUs > 0 || cl.sample.team.GPUs > 0)) {
 			continue
 		}
 		boot := 0.0
@@ -630,7 +630,7 @@
 				if (s && !j.spec.Spot) || c.now <= c.refused[spotKey(n, z, s)] || rate(t, s) <= 0 {
 					continue
 				}
-				if per := rate(t, false) / float64(slots(j, t, 0, 0, 0)); j.class.wait == 0 && per > dearest*cheapest {
+				if per := rate(t, false) / float64(slots(j, t, 0, 0, 0)); len(j.class.waits) == 0 && per > dearest*cheapest {
 					continue
 				}
 				price := rate(t, s) / float64(k) * (1 + 0.01*float64(inZone[z]))
--- /dev/null
+++ b/internal/sched/gang_test.go
@@ -0,0 +1,115 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
+
+// A gang gets its machines although small tasks of the same priority, which keep
+// coming, fill every one of them as soon as it has room.
+func TestGangIsNotStarved(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	hosts := []string{"n-1", "n-2", "n-3", "n-4"}
+	for _, h := range hosts {
+		b.report(h, "s", "x", 1)
+	}
+	gang := spec("j-1", "a", wire.Normal, 4, 8)
+	gang.Shape, gang.OneZone, gang.EstimateS = wire.Gang, true, 100
+	next := 100
+	for i := 0; i < 200; i++ {
+		if i%3 == 0 {
+			next++
+			small := spec(fmt.Sprint("j-", next), "a", wire.Normal, 4, 4)
+			small.Class, small.EstimateS = "small", 10
+			d := 60.0
+			small.DeadlineS = &d // more urgent than the gang, always
+			b.AddJob(small, b.now, b.now)
+		}
+		if i == 10 {
+			b.AddJob(gang, b.now, b.now)
+		}
+		b.now += second
+		b.schedule()
+		for _, h := range hosts {
+			run := b.running(h)
+			for k := range run {
+				id, n, _ := wire.ParseTask(run[k].Task)
+				p := b.machines[h].find(taskKey{b.jobs[id], n}, run[k].Attempt)
+				if id != "j-1" && p.running > 0 && b.now-p.running >= 10*second {
+					run[k].State, run[k].Cause = wire.TaskExited, wire.CauseDone
+				}
+			}
+			b.report(h, "s", "x", 1, run...)
+		}
+		for _, id := range b.Ends() {
+			b.Ended(id, wire.JobDone, b.now, b.now)
+		}
+		if len(b.jobs["j-1"].placementsOf()) == 4 {
+			return
+		}
+	}
+	t.Error("the gang was not started within 190 s")
+}
+
+func (j *job) placementsOf() map[*placement]struct{} {
+	if j == nil {
+		return nil
+	}
+	return j.placements
+}
+
+// Teams don't go on stopping each other's work: a gang that is mostly within its
+// team's guarantee is not evicted, and a gang that would go beyond its own
+// guarantee evicts nobody of equal priority.
+func TestTeamsDoNotTakeTurns(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a", CPUs: 24}, config.Team{Name: "b", CPUs: 24})
+	hosts := []string{"n-1", "n-2", "n-3", "n-4"}
+	for _, h := range hosts {
+		b.report(h, "s", "x", 1)
+	}
+	gang := func(id, team string) wire.Job {
+		g := spec(id, team, wire.Normal, 4, 8)
+		g.Shape = wire.Gang
+		return g
+	}
+	b.AddJob(gang("j-1", "a"), b.now, b.now)
+	b.schedule()
+	b.AddJob(gang("j-2", "b"), b.now, b.now)
+	for i := 0; i < 20; i++ {
+		b.now += second
+		for _, h := range hosts {
+			b.report(h, "s", "x", 1, b.running(h)...)
+		}
+		b.schedule()
+	}
+	if b.Stats.Evictions != 0 {
+		t.Errorf("%d tasks evicted", b.Stats.Evictions)
+	}
+}
+
+// A gang that is chosen as the victim on several machines at once is told and
+// counted once.
+func TestGangIsEvictedOnce(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	hosts := []string{"n-1", "n-2", "n-3"}
+	for _, h := range append(hosts, "n-4", "n-5", "n-6") {
+		b.report(h, "s", "x", 1)
+	}
+	b.AddJob(spec("j-3", "a", wire.Production, 3, 8), b.now, b.now) // takes the others
+	low, high := spec("j-1", "a", wire.Low, 3, 8), spec("j-2", "a", wire.High, 3, 8)
+	low.Shape, high.Shape = wire.Gang, wire.Gang
+	b.AddJob(low, b.now, b.now)
+	b.schedule()
+	b.AddJob(high, b.now, b.now)
+	b.now += 2 * second
+	for _, h := range hosts {
+		b.report(h, "s", "x", 1, b.running(h)...)
+	}
+	b.schedule()
+	if b.Stats.Evictions != 3 || b.jobs["j-1"].evictions != 1 {
+		t.Errorf("%d tasks evicted in %d evictions", b.Stats.Evictions, b.jobs["j-1"].evictions)
+	}
+}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -237,11 +237,14 @@
 	c.now = now
 	c.commit = nil
 	c.changed = true
-	e := c.newEntry(cm.Name)
 	for _, n := range cm.Drop {
 		delete(c.entries, n)
 		delete(c.fragile, n)
 	}
+	if len(cm.Entry.Runs) == 0 {
+		return // it only deleted
+	}
+	e := c.newEntry(cm.Name)
 	for _, p := range append(append([]*placement{}, cm.placements...), cm.moved...) {
 		if _, ok := p.job.placements[p]; ok {
 			p.entry = e
@@ -266,7 +269,7 @@
 			c.free(p)
 		}
 	}
-	if len(e.live) == 0 && !e.listed {
+	if len(e.live) == 0 {
 		c.spend(e)
 	}
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/base64"
 	"math"
+	"slices"
 
 	"dalefront/internal/config"
 	"dalefront/wire"
@@ -88,6 +89,7 @@
 	errorHosts map[string]bool
 	waitSince  Micros // since when something waits, 0 if nothing does
 	evictions  int
+	within     bool   // it fits its team's guarantee with the team's earlier jobs
 	noRoomTill Micros // nothing could be cleared for it; not tried again before
 	first      Micros // when a task was first seen running
 	savedRun   Micros // progress saved by stops, per task at most
@@ -167,20 +169,45 @@
 	return Micros(j.spec.EstimateS * j.class.ratio * float64(second))
 }
 
-// start is when the job should start at the latest, as far as the aims say. An
-// aim that is missed already asks for nothing any more: it must not go before
-// others that can still be met.
-func (j *job) start(now Micros) Micros {
-	s := j.due - j.estimate()
-	if by := j.arrival + j.class.wait; j.class.wait > 0 && now <= by {
-		s = min(s, by)
+// start is when the job should start at the latest, as far as the aims say, and
+// whether any aim can still be met. Of several aims of a kind the first that can
+// still be met counts: one that is missed asks for nothing any more, and must not
+// go before others. work is how long the job would keep all machines.
+func (j *job) start(now, work Micros) (at Micros, late bool) {
+	est := j.estimate()
+	at, late = math.MaxInt64, true
+	first := func(n int, by func(int) Micros) {
+		for i := 0; i < n; i++ {
+			if s := by(i); now+work/2 <= s {
+				at, late = min(at, s), false
+				return
+			}
+		}
+	}
+	cl := j.class
+	if j.first == 0 || !j.gang() {
+		first(len(cl.waits), func(i int) Micros { return j.arrival + cl.waits[i] })
+	}
+	first(len(cl.finishes), func(i int) Micros { return j.arrival + cl.finishes[i] - est })
+	if j.spec.DeadlineS != nil {
+		due := *j.spec.DeadlineS
+		first(len(cl.times), func(i int) Micros { return j.arrival + config.Micro(due*cl.times[i]) - est })
 	}
-	return s
+	if late {
+		at = j.due - est
+		if len(cl.waits)+len(cl.finishes) == 0 && j.spec.DeadlineS == nil {
+			late = false // no aim: it takes its turn
+		}
+	}
+	return at, late
 }
 
 type team struct {
 	config.Team
-	cpus, gpus float64
+	cpus, gpus float64 // in use, or possibly so
+
+	// of these, what has been told to stop
+	leavingCPUs, leavingGPUs float64
 }
 
 const eps = 1e-6
@@ -198,6 +225,14 @@
 	return (t.CPUs == 0 || t.cpus+cpus <= t.CPUs+eps) && (t.GPUs == 0 || t.gpus+gpus <= t.GPUs+eps)
 }
 
+// spares says whether at least half of this much is used beyond the guarantee.
+func (t *team) spares(cpus, gpus float64) bool {
+	if t.CPUs == 0 && t.GPUs == 0 {
+		return true
+	}
+	return (t.CPUs == 0 || t.cpus-t.leavingCPUs-cpus/2 >= t.CPUs-eps) && (t.GPUs == 0 || t.gpus-t.leavingGPUs-gpus/2 >= t.GPUs-eps)
+}
+
 // beyond says whether the team uses more than its guarantee.
 func (t *team) beyond() bool {
 	return (t.CPUs > 0 && t.cpus > t.CPUs+eps) || (t.GPUs > 0 && t.gpus > t.GPUs+eps) || (t.CPUs == 0 && t.GPUs == 0)
@@ -210,8 +245,11 @@
 	arrivals float64 // decayed count of tasks that arrived
 	at       Micros
 	sample   *job // a recent job, for its shape
-	wait     Micros
-	finish   Micros
+
+	// what the aims ask for, the strictest first
+	waits    []Micros
+	finishes []Micros
+	times    []float64 // of the deadline
 }
 
 // memory of the arrival rate.
@@ -266,6 +304,7 @@
 	idleSince      Micros
 	reserved       *job
 	reservedTill   Micros
+	heldAt         Micros // when it was last decided that it is kept
 	reservedFor    Micros // when that job is expected to use it, 0 at once
 	checkpoints    int
 	fetchingImages map[string]Micros
@@ -307,6 +346,7 @@
 
 	order   []*machine // all, by name
 	open    []*machine // those that may get launches in this pass
+	planned Micros     // when it was last decided what is kept for gangs
 	changed bool       // something happened that a pass may use
 
 	// the ledger
@@ -402,18 +442,21 @@
 			if o.Class != name {
 				continue
 			}
-			within := config.Micro(o.WithinS)
 			switch o.Kind {
 			case "wait":
-				if cl.wait == 0 || within < cl.wait {
-					cl.wait = within
-				}
+				cl.waits = append(cl.waits, config.Micro(o.WithinS))
 			case "finished":
-				if cl.finish == 0 || within < cl.finish {
-					cl.finish = within
-				}
+				cl.finishes = append(cl.finishes, config.Micro(o.WithinS))
+			case "deadline":
+				cl.times = append(cl.times, max(1, o.Times))
 			}
 		}
+		if len(cl.times) == 0 {
+			cl.times = []float64{1} // a deadline is one without an aim too
+		}
+		slices.Sort(cl.waits)
+		slices.Sort(cl.finishes)
+		slices.Sort(cl.times)
 		c.classes[name] = cl
 	}
 	return cl
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -175,7 +175,7 @@
 	if m.cpus+j.spec.CPUs+free*v.cpus <= m.kind.CPUs+eps && m.mem+j.spec.MemoryGB+free*v.mem <= m.kind.MemoryGB+eps {
 		return true
 	}
-	if j.rank == v.rank && j.class.wait > 0 {
+	if j.rank == v.rank && len(j.class.waits) > 0 {
 		return true
 	}
 	if c.now > j.due-j.estimate() && j.spec.DeadlineS != nil {
@@ -206,13 +206,14 @@
 		cpus += m.kind.CPUs
 	}
 	keys := make(map[*job]key, len(q))
+	c.markWithin()
 	for _, j := range q {
 		// A large job needs the machines for a while: it has to start earlier to
 		// be done in time, but when not all can be, it stands for one job only,
 		// so it yields to as many small ones as that while would serve.
 		work := Micros(float64(j.pending()) * j.spec.CPUs * float64(j.estimate()) / max(cpus, 1))
-		start := j.start(c.now)
-		keys[j] = key{j.team.guarantees(j.spec.CPUs, j.spec.GPUs), c.now+work/2 > start, start + work}
+		start, late := j.start(c.now, work)
+		keys[j] = key{j.within, late, start + work}
 	}
 	sort.Slice(q, func(a, b int) bool {
 		x, y := q[a], q[b]
@@ -232,6 +233,33 @@
 	return q
 }
 
+// markWithin marks the jobs that fit their teams' guarantees together with the
+// teams' earlier unfinished jobs: these need not wait on other teams.
+func (c *Core) markWithin() {
+	of := map[*team][]*job{}
+	for _, j := range c.jobs {
+		j.within = false
+		if !j.over() && (j.team.CPUs > 0 || j.team.GPUs > 0) {
+			of[j.team] = append(of[j.team], j)
+		}
+	}
+	for t, js := range of {
+		sort.Slice(js, func(a, b int) bool {
+			if js[a].arrival != js[b].arrival {
+				return js[a].arrival < js[b].arrival
+			}
+			return js[a].id < js[b].id
+		})
+		cpus, gpus := 0.0, 0.0
+		for _, j := range js {
+			n := float64(j.spec.Tasks - j.doneCount)
+			cpus += n * j.spec.CPUs
+			gpus += n * j.spec.GPUs
+			j.within = (t.CPUs == 0 || cpus <= t.CPUs+eps) && (t.GPUs == 0 || gpus <= t.GPUs+eps)
+		}
+	}
+}
+
 // Schedule places what waits and returns a batch to be stored, or nil. Only one
 // batch is outstanding at a time.
 func (c *Core) Schedule(now Micros) *Commit {
@@ -244,12 +272,13 @@
 	c.look()
 	queue := c.queue()
 	c.viewGPUs(queue)
+	plan := c.plan()
 	for _, j := range queue {
 		if now < j.notBefore {
 			continue
 		}
 		if j.gang() {
-			c.placeGang(j, b)
+			c.placeGang(j, b, plan)
 		} else {
 			c.placeTasks(j, b)
 		}
@@ -308,7 +337,7 @@
 // placeGang places all missing tasks of a gang or none. A waiting attempt that
 // lost a task gets a replacement with the same attempt number; a broken one is
 // cleared away first.
-func (c *Core) placeGang(j *job, b *batch) {
+func (c *Core) placeGang(j *job, b *batch, plan bool) {
 	if j.broken || (j.started && len(j.placements) > 0) {
 		for p := range j.placements {
 			if !p.checkpoint {
@@ -331,7 +360,9 @@
 			return
 		}
 	}
-	c.makeRoomForGang(j, missing)
+	if plan {
+		c.makeRoomForGang(j, missing)
+	}
 }
 
 // placeGangIn places the missing tasks in a zone, or anywhere if it is empty.
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -77,6 +77,10 @@
 	m.mem -= j.spec.MemoryGB
 	j.team.cpus -= j.spec.CPUs
 	j.team.gpus -= j.spec.GPUs
+	if p.stop {
+		j.team.leavingCPUs -= j.spec.CPUs
+		j.team.leavingGPUs -= j.spec.GPUs
+	}
 	if m.n == 0 {
 		m.cpus, m.gpus, m.mem = 0, 0, 0
 		m.idleSince = c.now
@@ -197,7 +201,7 @@
 			p.stored = true
 			c.strays = append(c.strays, p)
 			if c.stray(p) {
-				p.stop = true
+				c.stop(p, false)
 			}
 		}
 		present[p] = true
--- /dev/null
+++ b/internal/sched/why.go
@@ -0,0 +1,75 @@
+package sched
+
+import "sort"
+
+// Wait says why a job waits.
+type Wait struct {
+	Job, Class, Team string
+	Tasks            int    // that wait
+	Age              Micros // since its submission
+	Why              string
+	Room             int // tasks for which there is room now, in the best zone for a gang
+	Held             int // machines kept for it
+}
+
+// Waits explains the jobs that have waited longest, up to most of them. It says
+// what the last pass saw.
+func (c *Core) Waits(most int) []Wait {
+	var js []*job
+	for _, j := range c.jobs {
+		if j.pending() > 0 {
+			js = append(js, j)
+		}
+	}
+	sort.Slice(js, func(a, b int) bool {
+		if js[a].arrival != js[b].arrival {
+			return js[a].arrival < js[b].arrival
+		}
+		return js[a].id < js[b].id
+	})
+	var out []Wait
+	for _, j := range js[:min(most, len(js))] {
+		out = append(out, c.wait(j))
+	}
+	return out
+}
+
+func (c *Core) wait(j *job) Wait {
+	w := Wait{Job: j.id, Class: j.spec.Class, Team: j.spec.Team, Tasks: j.pending(), Age: c.now - j.arrival}
+	used := j.zones()
+	room := map[string]int{}
+	for _, m := range c.open {
+		if m.reserved == j {
+			w.Held++
+		}
+		z := ""
+		if j.gang() && j.spec.OneZone {
+			z = m.zone
+		}
+		room[z] += c.slotsOn(j, m, used)
+	}
+	for _, n := range room {
+		w.Room = max(w.Room, n)
+	}
+	n := 1.0
+	if j.gang() {
+		n = float64(w.Tasks)
+	}
+	leaving := false
+	for p := range j.placements {
+		leaving = leaving || p.stop
+	}
+	switch {
+	case c.now < j.notBefore:
+		w.Why = "its tasks failed"
+	case j.gang() && (j.broken || leaving || j.started && len(j.placements) > 0):
+		w.Why = "the last attempt is still leaving"
+	case !j.team.allows(n*j.spec.CPUs, n*j.spec.GPUs):
+		w.Why = "its team's limit"
+	case w.Room == 0 || j.gang() && w.Room < w.Tasks:
+		w.Why = "no room"
+	default:
+		w.Why = "next pass"
+	}
+	return w
+}
