--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -257,14 +257,15 @@
 	for _, z := range zones {
 		ws := ways[z]
 		sort.SliceStable(ws, func(a, b int) bool { return ws[a].cost < ws[b].cost })
-		n, k, cost := 0, 0, Micros(0)
+		n, k, cost, last := 0, 0, Micros(0), Micros(0)
 		for ; k < len(ws) && n < missing; k++ {
 			n += ws[k].slots
-			cost = max(cost, ws[k].after) // it starts with the last one
-			for _, v := range ws[k].victims {
-				cost += v.cost
+			last = max(last, ws[k].after) // it starts with the last one
+			if len(ws[k].victims) > 0 {
+				cost += ws[k].cost
 			}
 		}
+		cost += last * Micros(missing)
 		if n >= missing && (best == nil || cost < bestCost) {
 			best, bestCost = ws[:k], cost
 		}
@@ -281,11 +282,15 @@
 		return
 	}
 	for _, w := range best {
-		if len(w.victims) > 0 {
+		if len(w.victims) > 0 && start <= worthWaiting {
+			// Not before the rest is there: the room would stand idle, or be
+			// filled by others and be cleared once more.
 			c.evict(j, w.m, w.victims)
-			w.m.reservedTill += start
 			continue
 		}
+		if w.m.reserved == j && w.m.reservedFor == 0 && c.now < w.m.reservedTill {
+			continue // cleared for it
+		}
 		w.m.reserved, w.m.reservedFor, w.m.heldAt = j, c.now+max(start, 1), c.now
 		w.m.reservedTill = c.now + start + 5*second
 	}
@@ -296,6 +301,9 @@
 func (c *Core) wayOn(j *job, m *machine, may bool) (way, bool) {
 	w := way{m: m, slots: slots(j, m.kind, m.cpus, m.gpus, m.mem)}
 	like := Micros(c.score(j, m) * float64(second))
+	if m.reserved == j && m.reservedFor == 0 {
+		like = 0 // cleared for it
+	}
 	if w.slots > 0 {
 		w.cost = like
 		return w, j.spec.GPUs > 0 || m.kind.GPUs == 0 || c.mayBlockGPUs(j, m)
@@ -335,25 +343,34 @@
 		return w, false
 	}
 	w.cost = like + w.after
-	if !may || w.after < 2*second {
+	if !may || w.after <= worthWaiting {
 		return w, true
 	}
 	vs, ok := c.victims(j, m)
 	if !ok {
 		return w, true
 	}
-	cost := like
+	cost := Micros(0)
 	for _, v := range vs {
-		cost += v.cost
+		// By what the victim takes of the machine: a gang's task makes many
+		// small ones go.
+		s := &v.tasks[0].job.spec
+		part := s.CPUs / max(m.kind.CPUs, eps)
+		if m.kind.GPUs > 0 {
+			part = max(part, s.GPUs/m.kind.GPUs)
+		}
+		cost += Micros(float64(v.cost) * part)
 	}
-	// A gang waits for all its machines together: waiting costs it as many
-	// times over as it has tasks.
-	if cost < like+w.after*Micros(j.spec.Tasks) {
-		w.victims, w.after, w.cost, w.slots = vs, 0, cost, 1
+	if cost < w.after*Micros(j.spec.Tasks) {
+		w.victims, w.after, w.cost, w.slots = vs, 0, like+cost, 1
 	}
 	return w, true
 }
 
+// worthWaiting is how long a gang rather waits for a machine than evicts: it
+// starts with its last task, so each of its machines must be there soon.
+const worthWaiting = 3 * second
+
 // victims picks the cheapest victims on the machine, by checkpoint time, that
 // make room for one task of the job.
 func (c *Core) victims(j *job, m *machine) ([]victim, bool) {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -126,7 +126,7 @@
 	if r == nil || r == j || c.now >= m.reservedTill || r.rank < j.rank || r.over() {
 		return false
 	}
-	return m.reservedFor == 0 || j.spec.EstimateS == 0 || c.now+j.estimate()+Micros(c.fetch(j, m)*float64(second)) > m.reservedFor
+	return m.reservedFor == 0 || j.spec.EstimateS == 0 || c.now+j.estimate()*3/2+Micros(c.fetch(j, m)*float64(second)) > m.reservedFor
 }
 
 // gpuView sums up, once a pass, what graphics tasks need.
@@ -413,8 +413,10 @@
 	return false
 }
 
-// gangZones lists the zones that have room for all missing tasks, the one where
-// they would rather be first; a job without a zone rule gets the empty one.
+// gangZones lists the zones that have room for all missing tasks; a job without a
+// zone rule gets the empty one. The zone that has least room comes first, so that
+// small gangs don't cut up the room that large ones need; where the tasks would
+// rather not be (their image is missing) counts as room that is left.
 func (c *Core) gangZones(j *job, missing int) []string {
 	used := j.zones()
 	room, like := map[string]int{}, map[string]float64{}
@@ -437,10 +439,12 @@
 		}
 	}
 	sort.Slice(zs, func(a, b int) bool {
-		if like[zs[a]] != like[zs[b]] {
-			return like[zs[a]] > like[zs[b]]
+		x, y := zs[a], zs[b]
+		kx, ky := float64(room[x])*float64(room[x])/max(like[x], 0.01), float64(room[y])*float64(room[y])/max(like[y], 0.01)
+		if kx != ky {
+			return kx < ky
 		}
-		return zs[a] < zs[b]
+		return x < y
 	})
 	if j.spec.Tasks == 1 && len(zs) > 1 { // a lone task goes where it starts first
 		if m := c.findMachine(j, used, ""); m != nil {
