--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -401,6 +401,13 @@
 		r.lastLog = now
 		jobs, tasks := r.core.Waiting()
 		n.log.Info("overseer", "waiting_jobs", jobs, "waiting_tasks", tasks, "stats", fmt.Sprintf("%+v", r.core.Stats))
+		classes, types := r.core.Uses()
+		for _, u := range classes {
+			n.log.Info("class", "name", u.Name, "tasks", u.Tasks)
+		}
+		for _, u := range types {
+			n.log.Info("machines", "type", u.Name, "up", u.Up, "idle", u.Idle, "kept", u.Held, "tasks", u.Tasks, "free_cpus", int(u.Free))
+		}
 		for _, w := range r.core.Waits(3) {
 			n.log.Info("waits", "job", w.Job, "class", w.Class, "team", w.Team, "tasks", w.Tasks, "age_us", w.Age, "why", w.Why, "room", w.Room, "held", w.Held)
 		}
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -63,7 +63,7 @@
 // teams would go on stopping each other's work.
 func (c *Core) evictable(p *placement, j *job) bool {
 	v := p.job
-	if p.stop || !p.stored || v == j || v.over() {
+	if p.stop || v == j || v.over() {
 		return false
 	}
 	if v.rank < j.rank {
@@ -203,13 +203,38 @@
 // planEvery is how often it is decided anew which machines are kept for gangs.
 const planEvery = second
 
-// plan says whether this pass decides which machines are kept for waiting gangs.
-func (c *Core) plan() bool {
+// plan decides anew, now and then, which machines are kept for the gangs that
+// lack room: first come, first served, but those that can still meet an aim come
+// first. In each zone only one gang at a time keeps machines that it has to wait
+// for; the others start when they fit.
+func (c *Core) plan(gangs []*job) {
 	if c.now-c.planned < planEvery {
-		return false
+		return
 	}
 	c.planned = c.now
-	return true
+	late := make(map[*job]bool, len(gangs))
+	for _, j := range gangs {
+		_, late[j] = j.start(c.now, 0)
+	}
+	sort.SliceStable(gangs, func(a, b int) bool {
+		x, y := gangs[a], gangs[b]
+		switch {
+		case x.rank != y.rank:
+			return x.rank > y.rank
+		case x.within != y.within:
+			return x.within
+		case late[x] != late[y]:
+			return late[y]
+		}
+		if a, b := x.pending(), y.pending(); a != b {
+			return a < b
+		}
+		return x.arrival < y.arrival
+	})
+	taken := map[string]bool{}
+	for _, j := range gangs {
+		c.makeRoomForGang(j, j.pending(), taken)
+	}
 }
 
 // waitedFor says whether the machine is kept for a gang that waits for it, and
@@ -225,7 +250,7 @@
 // victims. Without that a large gang waits for ever for machines that small
 // tasks keep filling. Two gangs never hold part of what the other needs: what is
 // kept for one isn't looked at for the next.
-func (c *Core) makeRoomForGang(j *job, missing int) {
+func (c *Core) makeRoomForGang(j *job, missing int, taken map[string]bool) {
 	used := j.zones()
 	may := c.mayEvict(j)
 	ways := map[string][]way{}
@@ -249,6 +274,7 @@
 	}
 	var best []way
 	var bestCost Micros
+	in := ""
 	zones := make([]string, 0, len(ways))
 	for z := range ways {
 		zones = append(zones, z)
@@ -256,7 +282,15 @@
 	sort.Strings(zones)
 	for _, z := range zones {
 		ws := ways[z]
-		sort.SliceStable(ws, func(a, b int) bool { return ws[a].cost < ws[b].cost })
+		// What is there at once, or can be cleared, comes before what has to be
+		// waited for: one late machine makes all the others wait.
+		sort.SliceStable(ws, func(a, b int) bool {
+			x, y := ws[a], ws[b]
+			if x.after > worthWaiting || y.after > worthWaiting {
+				return x.after < y.after
+			}
+			return x.cost < y.cost
+		})
 		n, k, cost, last := 0, 0, Micros(0), Micros(0)
 		for ; k < len(ws) && n < missing; k++ {
 			n += ws[k].slots
@@ -266,8 +300,8 @@
 			}
 		}
 		cost += last * Micros(missing)
-		if n >= missing && (best == nil || cost < bestCost) {
-			best, bestCost = ws[:k], cost
+		if n >= missing && (best == nil || cost < bestCost) && !(taken[z] && last > worthWaiting) {
+			best, bestCost, in = ws[:k], cost, z
 		}
 	}
 	start, cleared := Micros(0), 0
@@ -277,6 +311,9 @@
 			cleared++
 		}
 	}
+	if start > worthWaiting {
+		taken[in] = true
+	}
 	// Soft point: a guest's huge job would evict almost everything.
 	if cleared > max(1, len(c.open)/2) {
 		return
@@ -361,14 +398,12 @@
 		}
 		cost += Micros(float64(v.cost) * part)
 	}
-	if cost < w.after*Micros(j.spec.Tasks) {
-		w.victims, w.after, w.cost, w.slots = vs, 0, like+cost, 1
-	}
+	w.victims, w.after, w.cost, w.slots = vs, 0, like+cost, 1
 	return w, true
 }
 
-// worthWaiting is how long a gang rather waits for a machine than evicts: it
-// starts with its last task, so each of its machines must be there soon.
+// worthWaiting is how long a gang rather waits for a machine than evicts. Longer
+// waits come to nothing: while it waits, small tasks fill what has become free.
 const worthWaiting = 3 * second
 
 // victims picks the cheapest victims on the machine, by checkpoint time, that
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -246,6 +246,9 @@
 	at       Micros
 	sample   *job // a recent job, for its shape
 
+	capacity   float64 // CPUs that its jobs have between them
+	capacityAt Micros
+
 	// what the aims ask for, the strictest first
 	waits    []Micros
 	finishes []Micros
@@ -362,6 +365,7 @@
 	direct   []Direct
 	commit   *Commit
 	gpus     gpuView
+	ordinary map[string]bool   // types wanted by waiting jobs that may not use spot machines
 	refused  map[string]Micros // type/zone/spot without capacity, until
 	hiring   map[string]int    // machines asked for, by type
 	bwWrite  float64           // GB/s
@@ -389,7 +393,7 @@
 		set: set, now: now, since: now, token: token,
 		types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{}, gone: map[string]Micros{},
 		teams: map[string]*team{}, classes: map[string]*class{},
-		entries: map[string]*entry{}, fragile: map[string]struct{}{},
+		entries: map[string]*entry{}, fragile: map[string]struct{}{}, ordinary: map[string]bool{},
 		refused: map[string]Micros{}, hiring: map[string]int{},
 		lease:      config.Micro(set.Deployment.Workers.LeaseS),
 		evictAfter: config.Micro(*set.Operator.EvictAfterS),
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -84,6 +84,9 @@
 	}
 	if j.spec.Spot && !m.spot {
 		s += 2 // keep ordinary machines for those who may use no others
+		if c.ordinary[m.kind.Name] {
+			s += 30 // and these wait
+		}
 	}
 	if m.slow > 2 {
 		s += 15 * (m.slow - 2) // well beyond wrong estimates
@@ -126,6 +129,9 @@
 	if r == nil || r == j || c.now >= m.reservedTill || r.rank < j.rank || r.over() {
 		return false
 	}
+	if m.reservedFor > c.now+worthWaiting && r.rank > j.rank {
+		return false // it is evicted when the gang's other machines are there
+	}
 	return m.reservedFor == 0 || j.spec.EstimateS == 0 || c.now+j.estimate()*3/2+Micros(c.fetch(j, m)*float64(second)) > m.reservedFor
 }
 
@@ -151,7 +157,13 @@
 		v.rank = max(v.rank, cl.sample.rank)
 		v.rate += cl.perSecond(c.now) * s.GPUs
 	}
+	clear(c.ordinary)
 	for _, j := range queue {
+		if !j.spec.Spot {
+			for name, t := range c.types {
+				c.ordinary[name] = c.ordinary[name] || fitsType(&j.spec, t)
+			}
+		}
 		v.waiting += float64(j.pending()) * j.spec.GPUs
 	}
 	for _, m := range c.open {
@@ -201,19 +213,15 @@
 		within, late bool
 		start        Micros
 	}
-	cpus := 0.0
-	for _, m := range c.open {
-		cpus += m.kind.CPUs
-	}
 	keys := make(map[*job]key, len(q))
 	c.markWithin()
 	for _, j := range q {
 		// A large job needs the machines for a while: it has to start earlier to
 		// be done in time, but when not all can be, it stands for one job only,
 		// so it yields to as many small ones as that while would serve.
-		work := Micros(float64(j.pending()) * j.spec.CPUs * float64(j.estimate()) / max(cpus, 1))
+		work := Micros(float64(j.pending()) * j.spec.CPUs * float64(j.estimate()) / max(c.capacity(j), 1))
 		start, late := j.start(c.now, work)
-		keys[j] = key{j.within, late, start + work}
+		keys[j] = key{j.within, late, start + yield*work}
 	}
 	sort.Slice(q, func(a, b int) bool {
 		x, y := q[a], q[b]
@@ -233,6 +241,33 @@
 	return q
 }
 
+// yield is how many times over a job's work counts against it: estimates are often
+// wrong and more jobs are yet to come, so what is short is served first.
+const yield = 3
+
+// capacity is how many CPUs the jobs of a class have between them: those of the
+// machines that they may use, without what higher ranks take there. It is summed
+// up anew every second.
+func (c *Core) capacity(j *job) float64 {
+	cl := j.class
+	if cl.capacityAt != 0 && c.now-cl.capacityAt < second {
+		return cl.capacity
+	}
+	cl.capacity, cl.capacityAt = 0, c.now
+	for _, m := range c.open {
+		if !allowed(j, m) || slots(j, m.kind, 0, 0, 0) == 0 || (m.kind.GPUs > 0 && j.spec.GPUs == 0) {
+			continue
+		}
+		cl.capacity += m.kind.CPUs
+		m.each(func(p *placement) {
+			if p.job.rank > j.rank {
+				cl.capacity -= p.job.spec.CPUs
+			}
+		})
+	}
+	return cl.capacity
+}
+
 // markWithin marks the jobs that fit their teams' guarantees together with the
 // teams' earlier unfinished jobs: these need not wait on other teams.
 func (c *Core) markWithin() {
@@ -272,17 +307,18 @@
 	c.look()
 	queue := c.queue()
 	c.viewGPUs(queue)
-	plan := c.plan()
+	var gangs []*job // without room
 	for _, j := range queue {
 		if now < j.notBefore {
 			continue
 		}
-		if j.gang() {
-			c.placeGang(j, b, plan)
-		} else {
+		if !j.gang() {
 			c.placeTasks(j, b)
+		} else if !c.placeGang(j, b) {
+			gangs = append(gangs, j)
 		}
 	}
+	c.plan(gangs)
 	c.keepBooks(b)
 	return c.close(b)
 }
@@ -334,35 +370,33 @@
 	}
 }
 
-// placeGang places all missing tasks of a gang or none. A waiting attempt that
-// lost a task gets a replacement with the same attempt number; a broken one is
-// cleared away first.
-func (c *Core) placeGang(j *job, b *batch, plan bool) {
+// placeGang places all missing tasks of a gang or none; false says that it lacks
+// room. A waiting attempt that lost a task gets a replacement with the same
+// attempt number; a broken one is cleared away first.
+func (c *Core) placeGang(j *job, b *batch) bool {
 	if j.broken || (j.started && len(j.placements) > 0) {
 		for p := range j.placements {
 			if !p.checkpoint {
 				c.stop(p, false)
 			}
 		}
-		return
+		return true
 	}
 	for p := range j.placements {
 		if p.stop {
-			return // an old attempt is still leaving
+			return true // an old attempt is still leaving
 		}
 	}
-	missing := j.pending()
-	if !j.team.allows(float64(missing)*j.spec.CPUs, float64(missing)*j.spec.GPUs) {
-		return
+	missing := float64(j.pending())
+	if !j.team.allows(missing*j.spec.CPUs, missing*j.spec.GPUs) {
+		return true
 	}
-	for _, z := range c.gangZones(j, missing) {
+	for _, z := range c.gangZones(j, int(missing)) {
 		if c.placeGangIn(j, z, b) {
-			return
+			return true
 		}
 	}
-	if plan {
-		c.makeRoomForGang(j, missing)
-	}
+	return false
 }
 
 // placeGangIn places the missing tasks in a zone, or anywhere if it is empty.
--- a/internal/sched/why.go
+++ b/internal/sched/why.go
@@ -73,3 +73,50 @@
 	}
 	return w
 }
+
+// Use says how a class or a type is used.
+type Use struct {
+	Name  string
+	Tasks int // running, or on their way
+	Up    int // machines of the type that may get launches
+	Idle  int // of these, without tasks
+	Held  int // of these, kept for a gang
+	Free  float64
+}
+
+// Uses sums up what runs, by class, and the machines, by type.
+func (c *Core) Uses() (classes, types []Use) {
+	by, kinds := map[string]*Use{}, map[string]*Use{}
+	for _, j := range c.jobs {
+		u := by[j.spec.Class]
+		if u == nil {
+			u = &Use{Name: j.spec.Class}
+			by[j.spec.Class] = u
+		}
+		u.Tasks += len(j.placements)
+	}
+	for _, m := range c.open {
+		u := kinds[m.kind.Name]
+		if u == nil {
+			u = &Use{Name: m.kind.Name}
+			kinds[m.kind.Name] = u
+		}
+		u.Up++
+		u.Tasks += m.n
+		u.Free += m.kind.CPUs - m.cpus
+		if m.n == 0 {
+			u.Idle++
+		}
+		if m.reserved != nil {
+			u.Held++
+		}
+	}
+	sorted := func(m map[string]*Use) (out []Use) {
+		for _, u := range m {
+			out = append(out, *u)
+		}
+		sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
+		return out
+	}
+	return sorted(by), sorted(kinds)
+}
