--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -415,14 +415,14 @@
 }
 
 // commit stores a write-ahead batch. While its outcome is unknown it is asked
-// again under the same conditions: its entry is created once, so that only one
+// again under the same conditions: its entries are created once, so that only one
 // copy can ever be applied.
 func (r *reign) commit(cm *sched.Commit) {
 	n := r.n
-	key := ledgerPrefix + cm.Name
-	txn := wire.Txn{If: []wire.Cond{r.termCond(), {Key: key}}}
-	if len(cm.Entry.Runs) > 0 {
-		txn.Then = append(txn.Then, wire.Change{Put: key, Value: cm.Entry})
+	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
+	for _, e := range cm.Entries {
+		txn.If = append(txn.If, wire.Cond{Key: ledgerPrefix + e.Name})
+		txn.Then = append(txn.Then, wire.Change{Put: ledgerPrefix + e.Name, Value: e.Entry})
 	}
 	for _, name := range cm.Drop {
 		txn.Then = append(txn.Then, wire.Change{Delete: ledgerPrefix + name})
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -158,7 +158,7 @@
 		return
 	}
 	j.ended, j.endedAt = status, min(at, now)
-	c.log("job over", "job", id, "class", j.spec.Class, "status", status, "tasks", j.spec.Tasks,
+	c.log("job over", "job", id, "class", j.spec.Class, "team", j.spec.Team, "status", status, "tasks", j.spec.Tasks,
 		"age_us", now-j.arrival, "first_start_us", max(0, j.first-j.arrival), "late_us", max(0, now-j.due),
 		"estimate_us", j.estimate(), "evictions", j.evictions)
 	j.dirty = map[int]bool{}
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -58,28 +58,26 @@
 }
 
 // evictable applies the protocol's "Preemption": lower priority, or work beyond
-// its team's guarantee when the claimant's team stays within its own. A gang
-// that is mostly within is left alone: its team would claim that back, and two
-// teams would go on stopping each other's work.
+// its team's guarantee for a job within its own. Which of a team's jobs are
+// beyond is decided by their arrival, as the aim counts it, and not by what runs
+// at the moment: then jobs within are never evicted for that and jobs beyond
+// never evict, and two teams can't go on stopping each other's work.
 func (c *Core) evictable(p *placement, j *job) bool {
 	v := p.job
 	if p.stop || v == j || v.over() {
 		return false
 	}
-	if v.rank < j.rank {
-		return true
-	}
-	if v.team == j.team || !v.team.beyond() {
-		return false
-	}
-	n, k := 1.0, 1.0
+	return v.rank < j.rank || (v.team != j.team && v.team.beyond() && !v.within && c.claims(j))
+}
+
+// claims says whether the job may have work of other teams stopped that they run
+// beyond their guarantees.
+func (c *Core) claims(j *job) bool {
+	n := 1.0
 	if j.gang() {
 		n = float64(j.pending())
 	}
-	if v.gang() {
-		k = float64(len(v.placements))
-	}
-	return j.team.guarantees(n*j.spec.CPUs, n*j.spec.GPUs) && v.team.spares(k*v.spec.CPUs, k*v.spec.GPUs)
+	return j.within && j.team.guarantees(n*j.spec.CPUs, n*j.spec.GPUs)
 }
 
 const maxEvictions = 3
@@ -97,11 +95,7 @@
 	if lower > 0 {
 		return true
 	}
-	n := 1.0
-	if j.gang() {
-		n = float64(j.pending())
-	}
-	if !j.team.guarantees(n*j.spec.CPUs, n*j.spec.GPUs) {
+	if !c.claims(j) {
 		return false
 	}
 	for _, t := range c.teams {
@@ -300,6 +294,13 @@
 			}
 		}
 		cost += last * Micros(missing)
+		// Small gangs go where few machines are left for them, and leave the
+		// zones with many to large ones.
+		for _, w := range ws[k:] {
+			if w.after <= worthWaiting {
+				cost += Micros(w.slots) * second
+			}
+		}
 		if n >= missing && (best == nil || cost < bestCost) && !(taken[z] && last > worthWaiting) {
 			best, bestCost, in = ws[:k], cost, z
 		}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -36,6 +36,12 @@
 	Tasks   []int32 `msgpack:"T"`
 }
 
+// NamedEntry is an entry under the name that it is stored by.
+type NamedEntry struct {
+	Name string
+	Entry
+}
+
 // entry is what the core keeps of a stored Entry.
 type entry struct {
 	name    string
@@ -46,16 +52,17 @@
 	moving  bool // the batch under way takes its launches over
 }
 
-// Commit is a write-ahead batch: an entry to be created on condition that none
-// of the jobs has ended, and entries to be deleted with it.
+// Commit is a write-ahead batch: entries to be created on condition that none of
+// the jobs has ended, and entries to be deleted with them. It is stored whole or
+// not at all.
 type Commit struct {
-	Name  string
-	Entry Entry
-	Jobs  []string
-	Drop  []string
+	Entries []NamedEntry
+	Jobs    []string
+	Drop    []string
 
-	placements []*placement // to be launched once the batch is stored
-	moved      []*placement // in the ledger already, or found on a machine
+	placements []*placement   // to be launched once the batch is stored
+	moved      []*placement   // in the ledger already, or found on a machine
+	parts      [][]*placement // by entry
 }
 
 // Sizes count in the longer text form, estimated from above.
@@ -64,8 +71,9 @@
 }
 
 const (
-	runBytes  = 100
-	taskBytes = 7
+	runBytes    = 100
+	taskBytes   = 7
+	maxTxnBytes = 48 << 10 // of the protocol's 64 KiB; conditions take the rest
 )
 
 // batch collects the placements of one pass.
@@ -74,7 +82,9 @@
 	machines   map[*machine]bool
 	jobs       map[*job]bool
 	bytes      int
-	most       int // bytes of an entry
+	value      int // bytes of an entry
+	most       int // bytes of all entries
+	maxDrops   int
 	maxJobs    int
 	placements []*placement
 	moved      []*placement
@@ -83,9 +93,11 @@
 
 func (c *Core) newBatch() *batch {
 	st := &c.set.Deployment.State
-	return &batch{c: c, machines: map[*machine]bool{}, jobs: map[*job]bool{},
-		// The condition on the term and the one on the entry's name come on top.
-		most: int(st.ValueKB * 1024 * 0.75), maxJobs: max(1, 4*st.TxnOps-2)}
+	value := int(st.ValueKB * 1024 * 0.75)
+	entries := max(1, min(st.TxnOps/2, maxTxnBytes/value))
+	return &batch{c: c, machines: map[*machine]bool{}, jobs: map[*job]bool{}, value: value, most: entries * value, maxDrops: st.TxnOps - entries,
+		// The conditions on the term and on the entries' names come on top.
+		maxJobs: max(1, 4*st.TxnOps-2-entries)}
 }
 
 // takes says whether the batch has room for k more tasks of the job on machines
@@ -121,21 +133,22 @@
 		return
 	}
 	c.kept = c.now
-	carry := func(p *placement) {
-		b.bytes += b.cost(p.m) + runBytes + taskBytes
-		b.machines[p.m] = true
-		b.moved = append(b.moved, p)
-	}
+	left := c.strays[:0]
 	for _, p := range c.strays {
-		if _, ok := p.job.placements[p]; ok && p.entry == nil {
-			carry(p)
+		switch _, ok := p.job.placements[p]; {
+		case !ok || p.entry != nil:
+		case b.bytes+b.cost(p.m)+runBytes+taskBytes > b.most:
+			left = append(left, p)
+		default:
+			b.bytes += b.cost(p.m) + runBytes + taskBytes
+			b.machines[p.m] = true
+			b.moved = append(b.moved, p)
 		}
 	}
-	c.strays = nil
-	// Deletions count as changes: few go along with launches.
-	most := min(4, c.set.Deployment.State.TxnOps-1)
-	if c.set.Deployment.State.TxnOps > 1 && len(b.placements) == 0 {
-		most = max(1, c.set.Deployment.State.TxnOps/2)
+	c.strays = left
+	most := b.maxDrops
+	if len(b.placements) > 0 {
+		most = min(most, 4) // deletions count as changes: few go along with launches
 	}
 	for len(c.spent) > 0 && len(b.drop) < most {
 		e := c.spent[0]
@@ -162,18 +175,41 @@
 		if len(b.drop) >= most {
 			break
 		}
-		if b.bytes+len(e.live)*(runBytes+taskBytes+200) > b.most {
+		if b.bytes+e.size(b) > b.most {
 			continue
 		}
 		delete(c.fragile, n)
 		e.leaving, e.moving = true, true
 		b.drop = append(b.drop, n)
+		b.bytes += e.size(b)
 		for p := range e.live {
-			carry(p)
+			b.machines[p.m] = true
+			b.moved = append(b.moved, p)
 		}
 	}
 }
 
+// size estimates what it takes to move the entry's live launches into the batch.
+func (e *entry) size(b *batch) int {
+	type run struct {
+		m *machine
+		j *job
+	}
+	hosts, runs, n := map[*machine]bool{}, map[run]bool{}, 0
+	for p := range e.live {
+		if !hosts[p.m] {
+			hosts[p.m] = true
+			n += b.cost(p.m)
+		}
+		if k := (run{p.m, p.job}); !runs[k] {
+			runs[k] = true
+			n += runBytes
+		}
+		n += taskBytes
+	}
+	return n
+}
+
 // maxEntries is how many entries the ledger holds before small ones are merged.
 const maxEntries = 400
 
@@ -182,9 +218,12 @@
 	if len(b.placements)+len(b.moved)+len(b.drop) == 0 {
 		return nil
 	}
-	c.seq++
-	cm := &Commit{Name: fmt.Sprintf("%016x.%08x", c.token, c.seq), placements: b.placements, moved: b.moved, Drop: b.drop}
-	cm.Entry = entryOf(append(append([]*placement{}, b.placements...), b.moved...))
+	cm := &Commit{placements: b.placements, moved: b.moved, Drop: b.drop}
+	cm.parts = split(append(append([]*placement{}, b.placements...), b.moved...), b.value)
+	for _, part := range cm.parts {
+		c.seq++
+		cm.Entries = append(cm.Entries, NamedEntry{fmt.Sprintf("%016x.%08x", c.token, c.seq), entryOf(part)})
+	}
 	for j := range b.jobs {
 		cm.Jobs = append(cm.Jobs, j.id)
 	}
@@ -194,14 +233,8 @@
 	return cm
 }
 
-func entryOf(ps []*placement) Entry {
-	var e Entry
-	index := map[string]int{}
-	type key struct {
-		host, job string
-		attempt   uint64
-	}
-	runs := map[key]int{}
+// split orders placements by machine and job and cuts them into entries.
+func split(ps []*placement, most int) (parts [][]*placement) {
 	sort.Slice(ps, func(a, b int) bool {
 		x, y := ps[a], ps[b]
 		switch {
@@ -212,6 +245,35 @@
 		}
 		return x.task < y.task
 	})
+	first, size := 0, 0
+	for i, p := range ps {
+		n := taskBytes
+		if i == first || p.m != ps[i-1].m {
+			n += hostBytes(p.m) + runBytes
+		} else if p.job != ps[i-1].job || p.attempt != ps[i-1].attempt {
+			n += runBytes
+		}
+		if size+n > most && i > first {
+			parts = append(parts, ps[first:i])
+			first, size, n = i, 0, hostBytes(p.m)+runBytes+taskBytes
+		}
+		size += n
+	}
+	if first < len(ps) {
+		parts = append(parts, ps[first:])
+	}
+	return parts
+}
+
+// entryOf makes an entry of placements that are ordered by machine.
+func entryOf(ps []*placement) Entry {
+	var e Entry
+	index := map[string]int{}
+	type key struct {
+		host, job string
+		attempt   uint64
+	}
+	runs := map[key]int{}
 	for _, p := range ps {
 		i, ok := index[p.m.host]
 		if !ok {
@@ -241,20 +303,21 @@
 		delete(c.entries, n)
 		delete(c.fragile, n)
 	}
-	if len(cm.Entry.Runs) == 0 {
-		return // it only deleted
-	}
-	e := c.newEntry(cm.Name)
-	for _, p := range append(append([]*placement{}, cm.placements...), cm.moved...) {
-		if _, ok := p.job.placements[p]; ok {
-			p.entry = e
-			e.live[p] = struct{}{}
+	stored := make([]*entry, len(cm.Entries))
+	for i, ne := range cm.Entries {
+		e := c.newEntry(ne.Name)
+		stored[i] = e
+		for _, h := range ne.Hosts {
+			e.hosts[h.Host] = struct{}{}
+			if _, gone := c.gone[h.Host]; gone {
+				c.fragile[ne.Name] = struct{}{}
+			}
 		}
-	}
-	for _, h := range cm.Entry.Hosts {
-		e.hosts[h.Host] = struct{}{}
-		if _, gone := c.gone[h.Host]; gone {
-			c.fragile[cm.Name] = struct{}{}
+		for _, p := range cm.parts[i] {
+			if _, ok := p.job.placements[p]; ok {
+				p.entry = e
+				e.live[p] = struct{}{}
+			}
 		}
 	}
 	for _, p := range cm.placements {
@@ -269,8 +332,10 @@
 			c.free(p)
 		}
 	}
-	if len(e.live) == 0 {
-		c.spend(e)
+	for _, e := range stored {
+		if len(e.live) == 0 {
+			c.spend(e)
+		}
 	}
 }
 
--- a/internal/sched/ledger_test.go
+++ b/internal/sched/ledger_test.go
@@ -19,30 +19,45 @@
 	}
 	b.AddJob(spec("j-1", "a", wire.Normal, 1000, 1), b.now, b.now)
 	cm := b.schedule()
-	if cm == nil || len(cm.Entry.Hosts) < 30 || len(cm.placements) < 8*len(cm.Entry.Hosts) {
+	if cm == nil || len(cm.Entries) != 1 || len(cm.Entries[0].Hosts) != 40 || len(cm.placements) != 320 {
 		t.Fatalf("a batch of %+v", cm)
 	}
-	if v, _ := json.Marshal(cm.Entry); float64(len(v)) > b.set.Deployment.State.ValueKB*1024 {
-		t.Errorf("an entry of %d bytes", len(v))
+	b.fits(cm)
+}
+
+// fits checks a batch against the limits of the state service.
+func (b *bed) fits(cm *Commit) {
+	b.t.Helper()
+	st := &b.set.Deployment.State
+	all := 0
+	for _, e := range cm.Entries {
+		v, _ := json.Marshal(e.Entry)
+		all += len(v)
+		if float64(len(v)) > st.ValueKB*1024 {
+			b.t.Errorf("an entry of %d bytes", len(v))
+		}
 	}
-	if n := len(cm.Drop) + 1; n > b.set.Deployment.State.TxnOps {
-		t.Errorf("%d changes in a transaction", n)
+	if n := len(cm.Drop) + len(cm.Entries); n > st.TxnOps || all > 60<<10 || len(cm.Jobs)+len(cm.Entries)+1 > 4*st.TxnOps {
+		b.t.Errorf("%d changes of %d bytes on %d jobs in a transaction", n, all, len(cm.Jobs))
 	}
 }
 
-// A gang larger than a transaction has changes can start.
+// A gang on more machines than a transaction has changes, and than one value can
+// name, can start.
 func TestWideGang(t *testing.T) {
 	b := newBed(t, config.Team{Name: "a"})
-	n := 3 * b.set.Deployment.State.TxnOps
+	const n = 150
 	for i := 0; i < n; i++ {
 		b.report(fmt.Sprintf("n-%06d", i), "s", "x", 1)
 	}
 	g := spec("j-1", "a", wire.Normal, n, 8)
 	g.Shape, g.OneZone = wire.Gang, true
 	b.AddJob(g, b.now, b.now)
-	if cm := b.schedule(); cm == nil || len(cm.placements) != n {
+	cm := b.schedule()
+	if cm == nil || len(cm.placements) != n || len(cm.Entries) < 2 {
 		t.Fatal("the gang was not placed")
 	}
+	b.fits(cm)
 }
 
 // An entry goes once nothing in it can be on a machine any more, and not before.
@@ -54,8 +69,8 @@
 	pass := func() {
 		b.now += 2 * second
 		if cm := b.Schedule(b.now); cm != nil {
-			if len(cm.Entry.Runs) > 0 {
-				store[cm.Name] = cm.Entry
+			for _, e := range cm.Entries {
+				store[e.Name] = e.Entry
 			}
 			for _, n := range cm.Drop {
 				delete(store, n)
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -225,17 +225,10 @@
 	return (t.CPUs == 0 || t.cpus+cpus <= t.CPUs+eps) && (t.GPUs == 0 || t.gpus+gpus <= t.GPUs+eps)
 }
 
-// spares says whether at least half of this much is used beyond the guarantee.
-func (t *team) spares(cpus, gpus float64) bool {
-	if t.CPUs == 0 && t.GPUs == 0 {
-		return true
-	}
-	return (t.CPUs == 0 || t.cpus-t.leavingCPUs-cpus/2 >= t.CPUs-eps) && (t.GPUs == 0 || t.gpus-t.leavingGPUs-gpus/2 >= t.GPUs-eps)
-}
-
-// beyond says whether the team uses more than its guarantee.
+// beyond says whether the team uses more than its guarantee, what is leaving
+// apart.
 func (t *team) beyond() bool {
-	return (t.CPUs > 0 && t.cpus > t.CPUs+eps) || (t.GPUs > 0 && t.gpus > t.GPUs+eps) || (t.CPUs == 0 && t.GPUs == 0)
+	return (t.CPUs > 0 && t.cpus-t.leavingCPUs > t.CPUs+eps) || (t.GPUs > 0 && t.gpus-t.leavingGPUs > t.GPUs+eps) || (t.CPUs == 0 && t.GPUs == 0)
 }
 
 // class is what the core learns about a class of jobs.
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"encoding/json"
 	"slices"
 	"testing"
 
@@ -437,10 +436,8 @@
 	}
 	b.report("n-1", "s", "x", 1)
 	cm := b.schedule()
-	if cm == nil || len(cm.Entry.Hosts) != 1 {
+	if cm == nil || len(cm.Entries) != 1 {
 		t.Fatal("nothing placed")
 	}
-	if v, _ := json.Marshal(cm.Entry); len(v) > 16<<10 {
-		t.Errorf("an entry of %d bytes", len(v))
-	}
+	b.fits(cm)
 }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -93,6 +93,7 @@
 
 	completed map[string]map[string]bool // job -> tasks completed
 	forgotten map[string]bool
+	Most      int // machines that the cloud has
 	Runs      int // tasks started
 	Done      int // jobs done
 	Broken    []string
@@ -100,7 +101,7 @@
 
 // New returns a world with the given settings and catalog.
 func New(seed uint64, set *config.Settings, cat wire.Catalog) *World {
-	w := &World{
+	w := &World{Most: 12,
 		Rng: rand.New(rand.NewPCG(seed, 1)), Now: 1_000 * second, Set: set, Catalog: cat,
 		workers: map[string]*worker{}, jobs: map[string]wire.Job{}, arrived: map[string]int64{}, ends: map[string]string{},
 		endAt: map[string]int64{}, chunks: map[string]map[int]string{}, ledger: map[string]sched.Entry{},
@@ -156,8 +157,8 @@
 		}
 	}
 	w.revision++
-	if len(cm.Entry.Runs) > 0 {
-		w.ledger[cm.Name] = cm.Entry
+	for _, e := range cm.Entries {
+		w.ledger[e.Name] = e.Entry
 	}
 	for _, n := range cm.Drop {
 		delete(w.ledger, n)
@@ -513,7 +514,7 @@
 	if w.Rng.IntN(20) == 0 {
 		for _, h := range c.Hires(w.Now) {
 			var hosts []string
-			for i := 0; i < h.Count && len(w.workers) < 12; i++ {
+			for i := 0; i < h.Count && len(w.workers) < w.Most; i++ {
 				w.Boot(h.Type, h.Zone, h.Spot)
 				hosts = append(hosts, fmt.Sprintf("n-%06d", w.nextID))
 			}
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -154,3 +154,51 @@
 		w.overseerStep()
 	})
 }
+
+// TestGrownWorld plays one world of the grown deployments' size: 320 machines,
+// gangs of up to 16 tasks, arrays of up to 1,000, several machines dying at once
+// and takeovers on top of one another, with the rules checked after every step.
+func TestGrownWorld(t *testing.T) {
+	const seed = 5
+	w := world(t, seed)
+	w.Most = 320
+	w.Set.Deployment.Teams[0].CPUs, w.Set.Deployment.Teams[0].CPUsMax = 200, 500
+	for i := 0; i < w.Most; i++ {
+		w.Boot([]string{"s", "s", "g"}[i%3], []string{"x", "y"}[i%2], i%5 == 0)
+	}
+	r := w.Rng
+	jobs := 0
+	for step := 0; step < 1200; step++ {
+		if r.IntN(12) == 0 && len(w.Active()) < 60 {
+			jobs++
+			j := randomJob(w, jobs)
+			switch j.Shape {
+			case wire.Gang:
+				j.Tasks, j.Zone, j.Priority, j.GPUs = []int{1, 3, 6, 12, 16}[r.IntN(5)], nil, wire.Normal, 0
+			case wire.Array:
+				j.Tasks, j.Priority = 20+r.IntN(981), wire.Low
+			}
+			if sched.Admit(w.Set, w.Catalog, &j) == nil {
+				w.Submit(j)
+			}
+		}
+		if a := w.Active(); r.IntN(100) == 0 && len(a) > 0 {
+			w.Cancel(a[r.IntN(len(a))])
+		}
+		switch step {
+		case 300, 310, 700: // the second before the first has settled
+			w.Takeover()
+		case 305, 705:
+			for i := 0; i < 9; i++ {
+				w.Kill()
+			}
+		}
+		w.Step()
+		if len(w.Broken) > 0 {
+			t.Fatalf("seed %d, step %d: %s", seed, step, w.Broken[0])
+		}
+	}
+	if w.Runs < 2000 || w.Done < 10 {
+		t.Fatalf("the world did too little to show anything: %d starts, %d jobs done", w.Runs, w.Done)
+	}
+}
