--- a/cmd/dalefront/main.go
+++ b/cmd/dalefront/main.go
@@ -98,7 +98,8 @@
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	// Past the platform's limit the process is killed: the collector works
-	// harder well before.
+	// harder well before. Below that it may be lazy: the processor is scarcer.
+	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(s.Deployment.Resources.RAMMB * 0.6 * (1 << 20)))
 	n, err := node.New(s, log)
 	if err != nil {
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -192,9 +192,23 @@
 		}
 	}
 	sort.SliceStable(hosts, func(a, b int) bool { return c.price(hosts[a]) > c.price(hosts[b]) })
+	idle := map[*wire.MachineType]int{}
 	for _, m := range hosts {
-		// Keeping a machine is worth as much as booting another one would cost.
+		if !m.returning && m.confirmed && m.n == 0 {
+			idle[m.kind]++
+		}
+	}
+	soon := map[*wire.MachineType]int{}
+	for t := range idle {
+		soon[t] = c.soon(t)
+	}
+	for _, m := range hosts {
+		// Keeping a machine is worth as much as booting another one would cost,
+		// as long as tasks may be expected for it.
 		idleAfter := min(idleMost, config.Micro(1.3*m.kind.BootS))
+		if idle[m.kind] > soon[m.kind] {
+			idleAfter = min(idleAfter, config.Micro(0.4*m.kind.BootS))
+		}
 		if m.returning || !m.confirmed || m.n > 0 || m.reserved != nil || now-m.idleSince < idleAfter {
 			continue
 		}
@@ -206,11 +220,29 @@
 		} else {
 			reserved -= x
 		}
+		idle[m.kind]--
 		back(m, "idle")
 	}
 	return out
 }
 
+// soon is how many machines of the type the tasks fill that may be expected while
+// another one would boot: the mean and one deviation.
+func (c *Core) soon(t *wire.MachineType) int {
+	machines := 0.0
+	for _, cl := range c.classes {
+		j := cl.sample
+		if j == nil || !fitsType(&j.spec, t) || (t.GPUs > 0) != (j.spec.GPUs > 0) {
+			continue
+		}
+		if n := slots(j, t, 0, 0, 0); n > 0 {
+			tasks := cl.perSecond(c.now) * (t.BootS + 10)
+			machines += (tasks + math.Sqrt(tasks)) / float64(n)
+		}
+	}
+	return int(math.Ceil(machines))
+}
+
 // Fleet counts the machines known and those whose workers have confirmed the
 // term.
 func (c *Core) Fleet() (known, up int) {
