--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -410,7 +410,7 @@
 }
 
 const (
-	launchWait = 250 * time.Millisecond
+	launchWait = 600 * time.Millisecond
 	maxWaiters = 256
 )
 
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -371,7 +371,7 @@
 	r.pass()
 	reachable := n.state.Reachable(3 * time.Second)
 	if !r.busyProgress && reachable {
-		if cs := r.core.Progress(min(n.set.Deployment.State.TxnOps, max(1, int(n.set.Deployment.State.WriteRPS/4)))); len(cs) > 0 {
+		if cs := r.core.Progress(min(n.set.Deployment.State.TxnOps, max(1, int(n.set.Deployment.State.WriteRPS/10)))); len(cs) > 0 {
 			r.busyProgress = true
 			go r.storeProgress(cs)
 		}
@@ -540,7 +540,10 @@
 		txn.Then = append(txn.Then, wire.Change{Put: chunkKey(c.Job, c.Index), Value: c.Text})
 	}
 	_, err := n.state.Multi(r.ctx, txn)
-	time.Sleep(500 * time.Millisecond) // batches what completes meanwhile
+	// What completes meanwhile goes with the next one. Launches wait for every
+	// change stored before them, and a result that is not stored yet is only
+	// reported once more.
+	time.Sleep(time.Second)
 	n.post(func() {
 		r.busyProgress = false
 		if n.reign != r || err != nil {
