--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"dalefront/internal/cloud"
+	"dalefront/wire"
+)
+
+// fleet decides about machines. Owner goroutine.
+func (r *reign) fleet(blind bool) {
+	n := r.n
+	now := n.now()
+	returns := r.core.Returns(now, blind)
+	var hires []wire.Hire
+	if n.state.Reachable(3 * time.Second) {
+		hires = r.core.Hires(now)
+	}
+	for i := range hires {
+		r.hireSeq++
+		// The token makes the name unique over terms, the number within one.
+		hires[i].Request = fmt.Sprintf("r-%d-%d", r.token, r.hireSeq)
+	}
+	list := r.lastList(now)
+	if len(returns) == 0 && len(hires) == 0 && !list {
+		return
+	}
+	r.busyCloud = true
+	select {
+	case r.cloudQ <- func() { r.cloudRound(returns, hires, list) }:
+	default:
+		r.busyCloud = false
+	}
+}
+
+func (r *reign) lastList(now int64) bool {
+	every := int64(max(2, r.n.set.Deployment.Cloud.ListLagS/2) * 1e6)
+	if now-r.lastListed < every {
+		return false
+	}
+	r.lastListed = now
+	return true
+}
+
+func (r *reign) runCloud() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case f := <-r.cloudQ:
+			f()
+		}
+	}
+}
+
+func (r *reign) cloudRound(returns []string, hires []wire.Hire, list bool) {
+	n := r.n
+	defer n.post(func() { r.busyCloud = false; n.dirty = true })
+	if len(returns) > 0 {
+		err := n.cloud.Return(r.ctx, returns)
+		n.post(func() {
+			if n.reign != r {
+				return
+			}
+			if err != nil {
+				r.core.ReturnFailed(returns, n.now())
+			} else {
+				r.core.Gone(returns, n.now())
+			}
+			n.dirty = true
+		})
+	}
+	r.hireAll(hires)
+	if list {
+		ms, err := n.cloud.List(r.ctx)
+		if err != nil {
+			n.log.Info("machine list", "err", err)
+			return
+		}
+		n.post(func() {
+			if n.reign == r {
+				r.core.Machines(ms, n.now())
+			}
+		})
+	}
+}
+
+// hireAll stores the names of a round's requests, in one write, and then asks for
+// the machines, side by side: none waits behind a slow answer to another.
+func (r *reign) hireAll(hires []wire.Hire) {
+	if len(hires) == 0 {
+		return
+	}
+	n := r.n
+	key := hirePrefix + hires[0].Request
+	_, stored := n.state.Multi(r.ctx, wire.Txn{If: []wire.Cond{r.termCond()}, Then: []wire.Change{{Put: key, Value: hires}}})
+	var all sync.WaitGroup
+	for _, h := range hires {
+		all.Go(func() {
+			var hosts []string
+			err := stored
+			if err == nil {
+				hosts, err = r.hire(h)
+			}
+			n.log.Info("hire", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count, "got", len(hosts), "err", err)
+			n.post(func() {
+				if n.reign != r {
+					return
+				}
+				if err != nil {
+					r.core.HireFailed(h, errors.Is(err, cloud.ErrNoCapacity), n.now())
+				} else {
+					r.core.Hired(h, hosts, n.now())
+				}
+			})
+		})
+	}
+	all.Wait()
+	n.post(func() { r.tidy = append(r.tidy, key) })
+}
+
+func (r *reign) hire(h wire.Hire) ([]string, error) {
+	for i := 0; ; i++ {
+		hosts, err := r.n.cloud.Hire(r.ctx, h)
+		if err == nil || errors.Is(err, cloud.ErrNoCapacity) || i == 2 || r.ctx.Err() != nil {
+			return hosts, err
+		}
+		time.Sleep(300 * time.Millisecond) // the same name: it rents once
+	}
+}
--- /dev/null
+++ b/internal/node/store.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"dalefront/internal/sched"
+	"dalefront/internal/state"
+	"dalefront/wire"
+)
+
+// commit stores a write-ahead batch. While its outcome is unknown it is asked
+// again under the same conditions: its entries are created once, so that only one
+// copy can ever be applied.
+func (r *reign) commit(cm *sched.Commit) {
+	n := r.n
+	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
+	for _, e := range cm.Entries {
+		txn.If = append(txn.If, wire.Cond{Key: ledgerPrefix + e.Name})
+		txn.Then = append(txn.Then, wire.Change{Put: ledgerPrefix + e.Name, Value: e.Entry})
+	}
+	for _, name := range cm.Drop {
+		txn.Then = append(txn.Then, wire.Change{Delete: ledgerPrefix + name})
+	}
+	for _, id := range cm.Jobs {
+		txn.If = append(txn.If, wire.Cond{Key: endKey(id)})
+	}
+	unknown := false
+	for r.ctx.Err() == nil {
+		a, err := n.state.Multi(r.ctx, txn)
+		switch {
+		case err == nil:
+			r.commitDone(cm, true)
+			return
+		case errors.Is(err, state.ErrUnknown):
+			unknown = true
+		case errors.Is(err, state.ErrConflict):
+			r.conflict(cm, a.Failed)
+			return
+		case !unknown:
+			// Refused: it was not executed and never will be.
+			n.log.Debug("commit refused", "err", err)
+			r.commitDone(cm, false)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (r *reign) commitDone(cm *sched.Commit, ok bool) {
+	n := r.n
+	n.post(func() {
+		if n.reign != r {
+			return
+		}
+		r.busyCommit = false
+		if ok {
+			r.core.Committed(cm, n.now())
+		} else {
+			r.core.Refused(cm, n.now())
+		}
+		r.serveWaiters()
+		n.dirty = true
+	})
+}
+
+// conflict finds out why a batch failed: the term is lost, a job has ended, or
+// an earlier copy of the same batch was applied after all.
+func (r *reign) conflict(cm *sched.Commit, failed []string) {
+	n := r.n
+	for r.ctx.Err() == nil {
+		again, applied := false, false
+		for _, k := range failed {
+			e, found, err := n.state.Get(r.ctx, k)
+			if err != nil {
+				again = true
+				break
+			}
+			switch {
+			case k == termKey:
+				if !found || e.Version != r.token {
+					n.post(func() { r.end() })
+					return
+				}
+			case strings.HasPrefix(k, endPrefix) && found:
+				n.post(func() {
+					if n.reign == r {
+						_ = r.ended(r.core, strings.TrimPrefix(k, endPrefix), e.Value)
+					}
+				})
+			case strings.HasPrefix(k, ledgerPrefix):
+				applied = applied || found
+			}
+		}
+		if !again {
+			r.commitDone(cm, applied)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// storeEnd makes a job done, unless it was cancelled before.
+func (r *reign) storeEnd(id string) {
+	n := r.n
+	ctx, cancel := context.WithTimeout(r.ctx, 4*time.Second)
+	defer cancel()
+	count := 0
+	n.do(ctx, func() {
+		if n.reign == r {
+			_, count, _, _ = r.core.Counts(id)
+		}
+	})
+	st, err := n.createEnd(ctx, id, wire.JobDone, count, []wire.Cond{r.termCond()})
+	if err != nil {
+		time.Sleep(150 * time.Millisecond)
+	}
+	n.post(func() {
+		if n.reign != r {
+			return
+		}
+		if err != nil {
+			r.core.RetryEnd(id)
+		} else {
+			r.core.Ended(id, st.Status, n.now(), n.now())
+		}
+		n.dirty = true
+	})
+}
+
+func (r *reign) storeProgress(cs []sched.Chunk) {
+	n := r.n
+	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
+	for _, c := range cs {
+		txn.Then = append(txn.Then, wire.Change{Put: chunkKey(c.Job, c.Index), Value: c.Text})
+	}
+	_, err := n.state.Multi(r.ctx, txn)
+	// What completes meanwhile goes with the next one. Launches wait for every
+	// change stored before them, and a result that is not stored yet is only
+	// reported once more.
+	time.Sleep(time.Second)
+	n.post(func() {
+		r.busyProgress = false
+		if n.reign != r || err != nil {
+			return
+		}
+		for _, c := range cs {
+			if _, _, _, known := r.core.Counts(c.Job); !known {
+				r.tidy = append(r.tidy, chunkKey(c.Job, c.Index)) // forgotten meanwhile
+				continue
+			}
+			r.chunks[c.Job] = max(r.chunks[c.Job], c.Index+1)
+			r.core.ProgressStored(c)
+		}
+	})
+}
+
+func (r *reign) deleteKeys(keys []string) {
+	n := r.n
+	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
+	for _, k := range keys {
+		txn.Then = append(txn.Then, wire.Change{Delete: k})
+	}
+	_, err := n.state.Multi(r.ctx, txn)
+	time.Sleep(time.Second)
+	n.post(func() {
+		r.busyTidy = false
+		if err != nil && !errors.Is(err, state.ErrConflict) {
+			r.tidy = append(r.tidy, keys...)
+		}
+	})
+}
