--- a/internal/sched/fleet_test.go
+++ b/internal/sched/fleet_test.go
@@ -36,3 +36,23 @@
 		}
 	}
 }
+
+// Machines for a gang that needs one zone are rented in one: spread over zones by
+// price, as tasks without that rule are, they would never make room for it.
+func TestGangIsHiredInOneZone(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.report("n-1", "s", "y", 1)
+	g := spec("j-1", "a", wire.Normal, 6, 8)
+	g.Shape, g.OneZone = wire.Gang, true
+	b.AddJob(g, b.now, b.now)
+	b.now += 5 * second
+	b.Machines(nil, b.now)
+	b.report("n-1", "s", "y", 1)
+	in := map[string]int{}
+	for _, h := range b.Hires(b.now) {
+		in[h.Zone] += h.Count
+	}
+	if in["y"] != 5 || len(in) != 1 {
+		t.Errorf("rented %v, want 5 in y, where one is already", in)
+	}
+}
--- a/internal/sched/gang_test.go
+++ b/internal/sched/gang_test.go
@@ -113,3 +113,62 @@
 		t.Errorf("%d tasks evicted in %d evictions", b.Stats.Evictions, b.jobs["j-1"].evictions)
 	}
 }
+
+// A job within its team's guarantee, as the aim counts it, evicts work that
+// another team runs beyond its own, whatever runs at the moment; a job that its
+// team's earlier jobs push beyond evicts nobody.
+func TestGuaranteeGoesByArrival(t *testing.T) {
+	for _, c := range []struct {
+		earlier int // CPUs of the claimant's team's earlier job, which waits too
+		evicts  bool
+	}{{0, true}, {24, false}} {
+		b := newBed(t, config.Team{Name: "a", CPUs: 24}, config.Team{Name: "b", CPUs: 8})
+		hosts := []string{"n-1", "n-2", "n-3", "n-4"}
+		for _, h := range hosts {
+			b.report(h, "s", "x", 1)
+		}
+		guest := spec("j-1", "b", wire.Normal, 4, 8)
+		guest.Shape = wire.Gang
+		b.AddJob(guest, b.now, b.now)
+		b.schedule()
+		if c.earlier > 0 {
+			zone := "nowhere" // it waits for ever and keeps its place in the guarantee
+			early := spec("j-2", "a", wire.Normal, c.earlier/8, 8)
+			early.Zone = &zone
+			b.AddJob(early, b.now, b.now)
+		}
+		b.now += second
+		b.AddJob(spec("j-3", "a", wire.Normal, 1, 8), b.now, b.now)
+		for i := 0; i < 4; i++ {
+			b.now += second
+			for _, h := range hosts {
+				b.report(h, "s", "x", 1, b.running(h)...)
+			}
+			b.schedule()
+		}
+		if got := b.Stats.Evictions > 0; got != c.evicts {
+			t.Errorf("after %d CPUs of earlier jobs: evicted %v, want %v", c.earlier, got, c.evicts)
+		}
+	}
+}
+
+// Aims of one kind count one after the other: what has missed the first is served
+// for the second, and what has missed all is late.
+func TestAimsCountInTurn(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	due := 100.0
+	j := spec("j-1", "a", wire.Normal, 1, 1)
+	j.DeadlineS = &due
+	b.set.Deployment.Objectives = []config.Objective{
+		{Kind: "deadline", Class: j.Class, Times: 1}, {Kind: "deadline", Class: j.Class, Times: 1.5}}
+	b.AddJob(j, b.now, b.now)
+	for _, c := range []struct {
+		age, start Micros
+		late       bool
+	}{{0, 40 * second, false}, {50 * second, 90 * second, false}, {95 * second, 40 * second, true}} {
+		at, late := b.jobs["j-1"].start(b.now+c.age, 0)
+		if at != b.now+c.start || late != c.late {
+			t.Errorf("at %d s: start by %d s, late %v; want %d s, %v", c.age/second, (at-b.now)/second, late, c.start/second, c.late)
+		}
+	}
+}
