--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -11,11 +11,11 @@
 // bed is a core with machines whose workers have confirmed the token.
 type bed struct {
 	*Core
-	t   *testing.T
+	t   testing.TB
 	seq uint64
 }
 
-func newBed(t *testing.T, teams ...config.Team) *bed {
+func newBed(t testing.TB, teams ...config.Team) *bed {
 	t.Helper()
 	var set config.Settings
 	d := &set.Deployment
--- /dev/null
+++ b/internal/sched/size_test.go
@@ -0,0 +1,97 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
+
+// crowd is a core of the grown size: machines of both types in two zones, partly
+// with images, and arrays that want more than there is.
+func crowd(t testing.TB, seed uint64, machines, jobs int) *bed {
+	r := rand.New(rand.NewPCG(seed, 2))
+	b := newBed(t, config.Team{Name: "a"}, config.Team{Name: "b", CPUsMax: 300})
+	b.set.Deployment.State.ValueKB, b.set.Deployment.State.TxnOps = 1e6, 24 // a batch takes all
+	for i := 0; i < machines; i++ {
+		h := fmt.Sprintf("n-%06d", i)
+		b.report(h, []string{"s", "s", "g"}[r.IntN(3)], []string{"x", "y"}[r.IntN(2)], 1)
+		for k := 0; k < 4; k++ {
+			if r.IntN(3) == 0 {
+				b.machines[h].images[fmt.Sprint("i", k)] = b.now
+			}
+		}
+	}
+	for i := 0; i < jobs; i++ {
+		j := spec(fmt.Sprintf("j-%04d", i), []string{"a", "b"}[r.IntN(2)], []string{wire.Low, wire.Normal}[r.IntN(2)], 1+r.IntN(200), float64(1+r.IntN(4)))
+		j.Image, j.EstimateS = fmt.Sprint("i", r.IntN(4)), float64(10+r.IntN(90))
+		if r.IntN(4) == 0 {
+			j.GPUs = 1
+		}
+		b.AddJob(j, b.now-Micros(r.IntN(60))*second, b.now)
+	}
+	return b
+}
+
+func (b *bed) where() map[string]int {
+	out := map[string]int{}
+	for _, j := range b.jobs {
+		for p := range j.placements {
+			out[j.id+" on "+p.m.host]++
+		}
+	}
+	return out
+}
+
+// Filling machine after machine decides as looking for a machine for each task
+// did, which at the grown size took too long.
+func TestFillingDecidesAsPlainScan(t *testing.T) {
+	for seed := uint64(1); seed <= 8; seed++ {
+		fast, plain := crowd(t, seed, 60, 20), crowd(t, seed, 60, 20)
+		fast.Schedule(fast.now)
+		plain.tend()
+		plain.look()
+		queue := plain.queue()
+		plain.viewGPUs(queue)
+		for _, j := range queue {
+			zones := j.zones()
+			for k, ok := j.next(); ok && j.team.allows(j.spec.CPUs, j.spec.GPUs); k, ok = j.next() {
+				m := plain.findMachine(j, zones, "")
+				if m == nil {
+					break
+				}
+				plain.place(j, k, m, plain.attempt())
+				zones[m.zone]++
+			}
+		}
+		got, want := fast.where(), plain.where()
+		if len(want) == 0 {
+			t.Fatalf("seed %d: nothing was placed", seed)
+		}
+		for k, n := range want {
+			if got[k] != n {
+				t.Fatalf("seed %d: %d tasks of %s, the plain scan places %d", seed, got[k], k, n)
+			}
+		}
+		if len(got) != len(want) {
+			t.Fatalf("seed %d: tasks in %d places, the plain scan uses %d", seed, len(got), len(want))
+		}
+	}
+}
+
+// BenchmarkPass is one pass over 320 full machines and thousands of waiting tasks.
+func BenchmarkPass(bm *testing.B) {
+	b := crowd(bm, 1, 320, 120)
+	b.schedule()
+	_, waiting := b.Waiting()
+	bm.ReportAllocs()
+	for bm.Loop() {
+		b.now += 20_000
+		if cm := b.Schedule(b.now); cm != nil {
+			b.Committed(cm, b.now)
+		}
+	}
+	bm.ReportMetric(float64(waiting), "waiting")
+}
