--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -139,11 +139,17 @@
 		"Spread": false, "Loaners": true, "ExpectedS": 1.0, "SnapshotEveryS": 0.0, "SnapshotS": 0.0}
 }
 
-// TestNodes runs three nodes: any of them takes jobs, reports and questions; a
-// job survives its overseer; what is over stays over; an outage of the state
-// service is answered at once and survived.
+// TestNodes runs three nodes, and seven: any of them takes jobs, reports and
+// questions; a job survives its overseer; what is over stays over; an outage of
+// the state service is answered at once and survived.
 func TestNodes(t *testing.T) {
-	c := newCluster(t, 3)
+	for _, size := range []int{3, 7} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) { testNodes(t, size) })
+	}
+}
+
+func testNodes(t *testing.T, size int) {
+	c := newCluster(t, size)
 	var st wire.JobStatus
 	for i := range c.addrs {
 		c.until("healthy", func() bool { code, _ := c.ask(i, http.MethodGet, wire.PathHealth, nil, nil); return code == 200 })
@@ -186,7 +192,7 @@
 			break
 		}
 	}
-	if len(c.addrs) != 2 {
+	if len(c.addrs) != size-1 {
 		t.Fatal("no node showed itself as overseer")
 	}
 	// The overseer died within the outage: its peers renew under its grant.
@@ -206,7 +212,7 @@
 		tr.State, tr.Cause = wire.TaskExited, wire.CauseDone
 		c.tasks[k] = tr
 	}
-	c.until("done on both nodes", func() bool {
+	c.until("done on all nodes", func() bool {
 		c.report(0)
 		for i := range c.addrs {
 			if code, _ := c.ask(i, http.MethodGet, wire.PathJobs+"/j-1", nil, &st); code != 200 || st.Status != wire.JobDone {
