Look polls up together and pace requests, so that a flood of jobs can't drown terms

Ruled out: the limit of changes, the processor, controller faults.

Changed: lookups in one comparing transaction with counts asked for together; holds only for who takes the term; shares adapt to refusals; ends stored together; the watch reopened less often.

--- /dev/null
+++ b/internal/node/lookup.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"dalefront/internal/api"
+	"dalefront/internal/state"
+	"dalefront/wire"
+)
+
+// lookup is a question whether a job was accepted and whether it has ended.
+type lookup struct {
+	id    string
+	known bool // accepted, as this node knows
+	done  chan<- verdict
+}
+
+// verdict answers a lookup, as of a moment after it was asked.
+type verdict struct {
+	accepted, ended bool
+	st              wire.JobStatus // with the overseer's counts, if it is not ended
+	err             error
+}
+
+const (
+	maxLookups = 4096 // more are refused at once
+	lookupers  = 4    // batches at the same time
+)
+
+// look asks together with others. Hundreds of users polling, each with a read of
+// its own, would use up the requests that the state service takes from all nodes,
+// and then nobody can renew a term; a transaction that only compares looks at many
+// jobs for the price of one.
+func (n *Node) look(ctx context.Context, id string, known bool) verdict {
+	done := make(chan verdict, 1)
+	select {
+	case n.lookups <- lookup{id, known, done}:
+	default:
+		return verdict{err: api.ErrNotNow}
+	}
+	select {
+	case v := <-done:
+		return v
+	case <-ctx.Done():
+		return verdict{err: api.ErrNotNow}
+	}
+}
+
+// lookupPace is how many batches of lookups this node may send: together the
+// nodes use some third of what the service takes. The wait for the next batch is
+// some tenths of a second at most, and only while more is asked.
+func (n *Node) lookupPace() *rate.Limiter {
+	per := n.set.Deployment.State.RPS * 0.35 / float64(len(n.set.Members)+1)
+	return rate.NewLimiter(rate.Limit(max(per, 1)), max(2, int(per)))
+}
+
+// lookupLoop answers lookups in batches. What a batch takes was asked before the
+// read begins, so its answers are as fresh as a read for each would be.
+func (n *Node) lookupLoop(ctx context.Context, pace *rate.Limiter) {
+	most := 4 * n.set.Deployment.State.TxnOps
+	for {
+		var batch []lookup
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-n.lookups:
+			batch = append(batch, l)
+		}
+		if pace.Wait(ctx) != nil {
+			return
+		}
+		for conds := 2; conds+2 <= most && len(n.lookups) > 0; conds += 2 {
+			select {
+			case l := <-n.lookups:
+				batch = append(batch, l)
+			default:
+				conds = most
+			}
+		}
+		n.lookUp(ctx, batch)
+	}
+}
+
+// lookUp answers a batch with one read, and one question to the overseer for the
+// counts to show.
+func (n *Node) lookUp(ctx context.Context, batch []lookup) {
+	ctx, cancel := context.WithTimeout(ctx, 1200*time.Millisecond)
+	defer cancel()
+	var txn wire.Txn
+	asked := map[string]bool{}
+	ask := func(key string) {
+		if !asked[key] {
+			asked[key] = true
+			txn.If = append(txn.If, wire.Cond{Key: key})
+		}
+	}
+	for _, l := range batch {
+		if !l.known {
+			ask(jobKey(l.id))
+		}
+		ask(endKey(l.id))
+	}
+	a, err := n.state.Multi(ctx, txn)
+	if err != nil && !errors.Is(err, state.ErrConflict) {
+		for _, l := range batch {
+			l.done <- verdict{err: err}
+		}
+		return
+	}
+	// The keys that exist: both are looked at in one moment, and a job's record is
+	// deleted only after its end was created, so that finding neither means that
+	// it was never accepted.
+	exists := map[string]bool{}
+	for _, k := range a.Failed {
+		exists[k] = true
+	}
+	var running []string
+	for _, l := range batch {
+		if (l.known || exists[jobKey(l.id)]) && !exists[endKey(l.id)] {
+			running = append(running, l.id)
+		}
+	}
+	counts := n.countsOf(ctx, running)
+	for _, l := range batch {
+		v := verdict{accepted: l.known || exists[jobKey(l.id)], ended: exists[endKey(l.id)], st: wire.JobStatus{ID: l.id, Status: wire.JobQueued}}
+		if st, ok := counts[l.id]; ok {
+			v.st = st
+		}
+		if !l.known && exists[jobKey(l.id)] {
+			n.setKnown(l.id)
+		}
+		l.done <- v
+	}
+}
+
+// countsOf asks for the counts that only the overseer has; without it jobs are
+// shown as queued.
+func (n *Node) countsOf(ctx context.Context, ids []string) map[string]wire.JobStatus {
+	if len(ids) == 0 {
+		return nil
+	}
+	sts := n.counts(ctx, ids)
+	leader, _, reigning := n.view()
+	if p := n.peers[leader]; p != nil && reigning == 0 {
+		if a, err := p.Counts(ctx, ids); err == nil {
+			sts = a.Jobs
+		}
+	}
+	out := make(map[string]wire.JobStatus, len(sts))
+	for _, st := range sts {
+		out[st.ID] = st
+	}
+	return out
+}
+
+// endOf reads the end of a job that is known to have one.
+func (n *Node) endOf(ctx context.Context, id string) (wire.JobStatus, error) {
+	if st, ok := n.final(id); ok {
+		return st, nil
+	}
+	e, found, err := n.state.Get(ctx, endKey(id))
+	if err == nil && !found {
+		err = fmt.Errorf("the end of %s is missing", id)
+	}
+	if err != nil {
+		return wire.JobStatus{}, err
+	}
+	return n.decodeEnd(id, e.Value)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 
 	events  chan func()   // run by the owner
 	submits chan struct{} // bounds the submissions that are being stored
+	lookups chan lookup   // questions of users that wait for the next read
 
 	// Owned by the owner goroutine.
 	reign *reign
@@ -57,7 +58,7 @@
 	now := time.Now()
 	n := &Node{
 		set: set, log: log,
-		state:  state.New(set.Endpoints.State, d.State.RPS, d.State.WriteRPS),
+		state:  state.New(set.Endpoints.State, d.State.RPS, d.State.WriteRPS, len(set.Members)+1),
 		cloud:  cloud.New(set.Endpoints.Cloud, d.Cloud.RPS, 0.7),
 		worker: worker.New(),
 		peers:  map[string]*peer.Client{},
@@ -66,6 +67,7 @@
 		// What the state service takes in two seconds; more are sent away at
 		// once, since they could not be told in time.
 		submits: make(chan struct{}, max(8, int(2*d.State.WriteRPS))),
+		lookups: make(chan lookup, maxLookups),
 		finals:  map[string]wire.JobStatus{}, known: map[string]struct{}{}, peerOK: map[string]bool{},
 	}
 	for _, m := range set.Members {
@@ -102,6 +104,11 @@
 	go n.own(ctx)
 	go n.learnCatalog(ctx)
 	go n.termLoop(ctx)
+	go n.probe(ctx)
+	pace := n.lookupPace()
+	for i := 0; i < lookupers; i++ {
+		go n.lookupLoop(ctx, pace)
+	}
 	for label, p := range n.peers {
 		go n.greet(ctx, label, p)
 	}
@@ -333,20 +340,28 @@
 
 // PeerCounts implements peer.Server.
 func (n *Node) PeerCounts(ctx context.Context, c *peer.Counts) (*peer.CountsAnswer, error) {
-	st, ok := n.counts(ctx, c.ID)
-	return &peer.CountsAnswer{Known: ok, Status: st}, nil
+	return &peer.CountsAnswer{Jobs: n.counts(ctx, c.IDs)}, nil
 }
 
-// counts reads a job's display counts from the core, if this node has it.
-func (n *Node) counts(ctx context.Context, id string) (st wire.JobStatus, ok bool) {
-	done := n.do(ctx, func() {
-		if n.reign != nil {
-			var s string
-			s, st.Done, st.Running, ok = n.reign.core.Counts(id)
-			st.ID, st.Status = id, s
+// counts reads jobs' display counts from the core, if this node has it.
+func (n *Node) counts(ctx context.Context, ids []string) (sts []wire.JobStatus) {
+	var out []wire.JobStatus
+	if _, _, reigning := n.view(); reigning == 0 {
+		return nil
+	}
+	if n.do(ctx, func() {
+		if n.reign == nil {
+			return
 		}
-	})
-	return st, ok && done
+		for _, id := range ids {
+			if s, done, running, ok := n.reign.core.Counts(id); ok {
+				out = append(out, wire.JobStatus{ID: id, Status: s, Done: done, Running: running})
+			}
+		}
+	}) {
+		return out
+	}
+	return nil
 }
 
 // report hands a report to the core if this node is entitled to act: it holds
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"dalefront/internal/sched"
@@ -30,7 +31,9 @@
 	busyCommit   bool
 	busyProgress bool
 	busyTidy     bool
+	busyEnds     bool
 	busyCloud    bool
+	ends         []string // jobs whose end is to be stored
 	tidy         []string // keys to delete
 	lastCloud    int64
 	lastLog      int64
@@ -54,6 +57,7 @@
 func (n *Node) reignOver(ctx context.Context, token uint64, h *hold) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	ctx = state.Urgent(ctx)
 	r := &reign{n: n, token: token, hold: h, ctx: ctx, cancel: cancel, chunks: map[string]int{},
 		directs: make(chan sched.Direct, 256), cloudQ: make(chan func(), 64)}
 	n.learn(n.set.Label, token)
@@ -189,17 +193,26 @@
 		// in reports, and are adopted; the name is never used again.
 		r.tidy = append(r.tidy, e.Key)
 	}
-	if err := r.loadEnds(core, jobs); err != nil {
+	ends, err := r.endsOf(jobs)
+	if err != nil {
 		return err
 	}
+	for _, e := range ends {
+		if err := r.ended(core, strings.TrimPrefix(e.Key, endPrefix), e.Value); err != nil {
+			return err
+		}
+	}
 	r.core, r.revision = core, rev
 	return nil
 }
 
-// loadEnds asks which of the jobs have ended, many at a time: a transaction
-// without writes only compares.
-func (r *reign) loadEnds(core *sched.Core, jobs []wire.Entry) error {
+// endsOf reads the ends of those of the jobs that have ended. Which have is asked
+// for many at a time, by a transaction that only compares; their ends are read side
+// by side: after a flood of small jobs hundreds may wait to be tidied up, and a
+// takeover must not ask for one after the other.
+func (r *reign) endsOf(jobs []wire.Entry) (ends []wire.Entry, err error) {
 	n := r.n
+	var keys []string
 	most := 4 * n.set.Deployment.State.TxnOps
 	for len(jobs) > 0 {
 		part := jobs[:min(most, len(jobs))]
@@ -209,24 +222,27 @@
 			txn.If = append(txn.If, wire.Cond{Key: endKey(strings.TrimPrefix(e.Key, jobPrefix))})
 		}
 		a, err := n.state.Multi(r.ctx, txn)
-		if err == nil {
-			continue
-		}
-		if !errors.Is(err, state.ErrConflict) {
-			return err
+		if err != nil && !errors.Is(err, state.ErrConflict) {
+			return nil, err
 		}
-		for _, k := range a.Failed {
-			id := strings.TrimPrefix(k, endPrefix)
-			e, found, err := n.state.Get(r.ctx, k)
-			if err != nil || !found {
-				return fmt.Errorf("end of %s: %v", id, err)
+		keys = append(keys, a.Failed...)
+	}
+	ends = make([]wire.Entry, len(keys))
+	errs := make([]error, len(keys))
+	var all sync.WaitGroup
+	turn := make(chan struct{}, 8)
+	for i, k := range keys {
+		turn <- struct{}{}
+		all.Go(func() {
+			defer func() { <-turn }()
+			var found bool
+			if ends[i], found, errs[i] = n.state.Get(r.ctx, k); errs[i] == nil && !found {
+				errs[i] = fmt.Errorf("%s is missing", k)
 			}
-			if err := r.ended(core, id, e.Value); err != nil {
-				return err
-			}
-		}
+		})
 	}
-	return nil
+	all.Wait()
+	return ends, errors.Join(errs...)
 }
 
 func (r *reign) ended(core *sched.Core, id string, value []byte) error {
@@ -243,6 +259,9 @@
 func (r *reign) watch() {
 	n := r.n
 	from := r.revision
+	// Each opening of the watch is a request: in a flood of small jobs every change
+	// would cost one.
+	every := time.Duration(8 / max(n.set.Deployment.State.RPS, 1) * float64(time.Second))
 	for r.ctx.Err() == nil {
 		ev, err := n.state.Changes(r.ctx, queuePrefix, from, 5*time.Second)
 		if err != nil {
@@ -261,6 +280,7 @@
 		if len(ev.Events) == 0 {
 			continue
 		}
+		next := time.Now().Add(every)
 		n.post(func() {
 			if n.reign != r {
 				return
@@ -270,6 +290,7 @@
 			}
 			n.dirty = true
 		})
+		time.Sleep(time.Until(next))
 	}
 }
 
@@ -294,20 +315,13 @@
 	if err != nil {
 		return 0, false
 	}
-	var ended []wire.Entry
-	for _, e := range jobs {
-		id := strings.TrimPrefix(e.Key, jobPrefix)
-		end, found, err := n.state.Get(r.ctx, endKey(id))
-		if err != nil {
-			return 0, false
-		}
-		if found {
-			ended = append(ended, end)
-		}
+	ends, err := r.endsOf(jobs)
+	if err != nil {
+		return 0, false
 	}
 	n.post(func() {
 		if n.reign == r {
-			for _, e := range append(jobs, ended...) {
+			for _, e := range append(jobs, ends...) {
 				r.take(e.Key, e.Value)
 			}
 		}
@@ -344,14 +358,25 @@
 }
 
 func (r *reign) effects() {
+	n := r.n
 	for _, d := range r.core.Directs() {
 		select {
 		case r.directs <- d:
 		default: // the next report's answer repeats it
 		}
 	}
-	for _, id := range r.core.Ends() {
-		go r.storeEnd(id)
+	r.ends = append(r.ends, r.core.Ends()...)
+	if !r.busyEnds && len(r.ends) > 0 {
+		// Half of a transaction: ends leave room for launches.
+		k := min(len(r.ends), max(1, n.set.Deployment.State.TxnOps/2))
+		ids := r.ends[:k:k]
+		r.ends = r.ends[k:]
+		r.busyEnds = true
+		done := make([]int, len(ids))
+		for i, id := range ids {
+			_, done[i], _, _ = r.core.Counts(id)
+		}
+		go r.storeEnds(ids, done)
 	}
 	for _, id := range r.core.Forgotten() {
 		r.tidy = append(r.tidy, jobKey(id))
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -102,30 +102,50 @@
 	}
 }
 
-// storeEnd makes a job done, unless it was cancelled before.
-func (r *reign) storeEnd(id string) {
+// storeEnds makes jobs done, unless they were cancelled before: all in one
+// transaction, or one by one if that fails.
+func (r *reign) storeEnds(ids []string, done []int) {
 	n := r.n
 	ctx, cancel := context.WithTimeout(r.ctx, 4*time.Second)
 	defer cancel()
-	count := 0
-	n.do(ctx, func() {
-		if n.reign == r {
-			_, count, _, _ = r.core.Counts(id)
+	conds := []wire.Cond{r.termCond()}
+	txn := wire.Txn{If: conds}
+	at := n.now()
+	for i, id := range ids {
+		txn.If = append(txn.If, wire.Cond{Key: endKey(id)})
+		txn.Then = append(txn.Then, wire.Change{Put: endKey(id), Value: endRecord{Status: wire.JobDone, At: at, Done: done[i]}})
+	}
+	_, together := n.state.Multi(ctx, txn)
+	ends := make([]wire.JobStatus, len(ids))
+	errs := make([]error, len(ids))
+	failed := false
+	for i, id := range ids {
+		if together == nil {
+			ends[i] = wire.JobStatus{ID: id, Status: wire.JobDone, Done: done[i]}
+			n.remember(ends[i])
+			continue
 		}
-	})
-	st, err := n.createEnd(ctx, id, wire.JobDone, count, []wire.Cond{r.termCond()})
-	if err != nil {
+		if errs[i] = together; errors.Is(together, state.ErrConflict) || errors.Is(together, state.ErrUnknown) {
+			ends[i], errs[i] = n.createEnd(ctx, id, wire.JobDone, done[i], conds)
+		}
+		failed = failed || errs[i] != nil
+	}
+	if failed {
 		time.Sleep(150 * time.Millisecond)
 	}
 	n.post(func() {
+		r.busyEnds = false
 		if n.reign != r {
 			return
 		}
-		if err != nil {
-			r.core.RetryEnd(id)
-		} else {
-			r.core.Ended(id, st.Status, n.now(), n.now())
+		for i, id := range ids {
+			if errs[i] != nil {
+				r.core.RetryEnd(id)
+			} else {
+				r.core.Ended(id, ends[i].Status, n.now(), n.now())
+			}
 		}
+		r.effects()
 		n.dirty = true
 	})
 }
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -50,7 +50,6 @@
 // only rise.
 func (n *Node) termLoop(ctx context.Context) {
 	ttl := time.Duration(*n.set.Operator.TermS * float64(time.Second))
-	var h *hold
 	rest := func(d time.Duration) {
 		select {
 		case <-ctx.Done():
@@ -58,14 +57,6 @@
 		}
 	}
 	for i := 0; ctx.Err() == nil; i++ {
-		if h == nil || h.dead.Load() {
-			nh, err := n.keepHold(ctx, ttl)
-			if err != nil {
-				rest(400 * time.Millisecond)
-				continue
-			}
-			h = nh
-		}
 		e, found, err := n.state.Get(ctx, termKey)
 		if err != nil {
 			rest(400 * time.Millisecond)
@@ -82,6 +73,13 @@
 			rest(200 * time.Millisecond) // can't decide anything yet
 			continue
 		}
+		// A hold is opened only now: those of all the nodes that merely stand by
+		// would cost the service more requests than the term itself.
+		h, err := n.keepHold(ctx, ttl)
+		if err != nil {
+			rest(100 * time.Millisecond)
+			continue
+		}
 		mark := fmt.Sprintf("%s.%d.%d", n.set.Label, n.wall, i)
 		a, err := n.state.Multi(ctx, wire.Txn{
 			If:   []wire.Cond{{Key: termKey}},
@@ -95,10 +93,8 @@
 				token, err = e.Version, nil
 			}
 		}
-		if errors.Is(err, state.ErrNoLease) {
-			h.dead.Store(true)
-		}
 		if err != nil {
+			h.dead.Store(true) // left to run out
 			rest(100 * time.Millisecond)
 			continue
 		}
@@ -109,7 +105,6 @@
 		if n.resigned(token) {
 			rest(15 * time.Second)
 		}
-		h = nil
 	}
 }
 
@@ -132,3 +127,22 @@
 		from = max(from, ev.Revision)
 	}
 }
+
+// probe asks the state service now and then when nothing else has: whether this
+// node is healthy, and may use a grant, goes by what the service last answered.
+func (n *Node) probe(ctx context.Context) {
+	const every = 800 * time.Millisecond
+	for ctx.Err() == nil {
+		if !n.state.Reachable(every) {
+			if e, found, err := n.state.Get(state.Urgent(ctx), termKey); err == nil && found {
+				var t termRecord
+				_ = wire.Unmarshal(e.Value, &t)
+				n.learn(t.Node, e.Version)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(every / 2):
+		}
+	}
+}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -87,20 +87,6 @@
 	n.known[id] = struct{}{}
 }
 
-// readEnd reads a job's end afresh. A non-final answer always rests on such a
-// read: another node may have told the user of an end a moment ago.
-func (n *Node) readEnd(ctx context.Context, id string) (wire.JobStatus, bool, error) {
-	if st, ok := n.final(id); ok {
-		return st, true, nil
-	}
-	e, found, err := n.state.Get(ctx, endKey(id))
-	if err != nil || !found {
-		return wire.JobStatus{}, false, err
-	}
-	st, err := n.decodeEnd(id, e.Value)
-	return st, err == nil, err
-}
-
 func (n *Node) decodeEnd(id string, v msgpack.RawMessage) (wire.JobStatus, error) {
 	var r endRecord
 	if err := wire.Unmarshal(v, &r); err != nil {
@@ -111,55 +97,32 @@
 	return st, nil
 }
 
-// Status implements api.Service.
+// Status implements api.Service. A non-final answer always rests on a fresh look
+// at the job's end: another node may have told the user of it a moment ago.
 func (n *Node) Status(ctx context.Context, id string) (wire.JobStatus, error) {
 	if st, ok := n.final(id); ok {
 		return st, nil
 	}
-	accepted := n.knows(id)
-	if !accepted {
-		// First the job, then its end: the job's record is deleted only after
-		// its end was created, so finding neither means that it was never
-		// accepted.
-		_, found, err := n.state.Get(ctx, jobKey(id))
-		if err != nil {
-			return wire.JobStatus{}, api.ErrNotNow
-		}
-		if accepted = found; found {
-			n.setKnown(id)
-		}
-	}
-	st, ended, err := n.readEnd(ctx, id)
+	v := n.look(ctx, id, n.knows(id))
 	if late, ok := n.final(id); ok {
-		// The end came by another way while it was read. Asking once more
+		// The end came by another way while it was looked up. Asking once more
 		// whether the job is known would find it gone from the known ones, and
 		// an accepted job would get 404.
 		return late, nil
 	}
 	switch {
-	case err != nil:
+	case v.err != nil:
 		return wire.JobStatus{}, api.ErrNotNow
-	case ended:
+	case v.ended:
+		st, err := n.endOf(ctx, id)
+		if err != nil {
+			return st, api.ErrNotNow
+		}
 		return st, nil
-	case !accepted:
+	case !v.accepted:
 		return wire.JobStatus{}, api.ErrUnknown
 	}
-	return n.display(ctx, id), nil
-}
-
-// display adds the counts that only the overseer has; without it the job is
-// shown as queued.
-func (n *Node) display(ctx context.Context, id string) wire.JobStatus {
-	if st, ok := n.counts(ctx, id); ok {
-		return st
-	}
-	leader, _, reigning := n.view()
-	if p := n.peers[leader]; p != nil && reigning == 0 {
-		if a, err := p.Counts(ctx, id); err == nil && a.Known {
-			return a.Status
-		}
-	}
-	return wire.JobStatus{ID: id, Status: wire.JobQueued}
+	return v.st, nil
 }
 
 // Submit implements api.Service: any node accepts a job by creating its key.
@@ -242,8 +205,7 @@
 		return st, nil
 	}
 	if errors.Is(err, state.ErrConflict) || errors.Is(err, state.ErrUnknown) {
-		st, ended, rerr := n.readEnd(ctx, id)
-		if rerr == nil && ended {
+		if st, rerr := n.endOf(ctx, id); rerr == nil {
 			return st, nil
 		}
 	}
--- a/internal/node/users_test.go
+++ b/internal/node/users_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"dalefront/internal/api"
@@ -30,9 +33,69 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	pace := n.lookupPace()
+	for i := 0; i < lookupers; i++ {
+		go n.lookupLoop(ctx, pace)
+	}
 	return n
 }
 
+// Hundreds of users polling once used up all requests that the state service
+// takes, so that no controller could renew a term: what is asked at the same time
+// is looked up together, and every answer still rests on a read that began later.
+func TestPollsShareReads(t *testing.T) {
+	var reads atomic.Int64
+	var n *Node
+	release := make(chan struct{})
+	n = testNode(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/multi" {
+			b, _ := wire.Marshal(wire.Entry{Key: endKey("j-7"), Value: []byte{0x81, 0xa1, 'S', 0xa4, 'd', 'o', 'n', 'e'}})
+			_, _ = w.Write(b)
+			return
+		}
+		reads.Add(1)
+		<-release
+		var txn wire.Txn
+		b, _ := io.ReadAll(r.Body)
+		_ = wire.Unmarshal(b, &txn)
+		var a wire.TxnAnswer
+		for _, c := range txn.If {
+			if strings.HasPrefix(c.Key, jobPrefix) || c.Key == endKey("j-7") {
+				a.Failed = append(a.Failed, c.Key)
+			}
+		}
+		w.WriteHeader(http.StatusConflict)
+		b, _ = wire.Marshal(a)
+		_, _ = w.Write(b)
+	})
+	n.set.Deployment.State.TxnOps = 12
+	const users = 100
+	var all sync.WaitGroup
+	var wrong atomic.Int64
+	for i := 0; i < users; i++ {
+		all.Go(func() {
+			st, err := n.Status(context.Background(), fmt.Sprint("j-", i))
+			want := wire.JobQueued
+			if i == 7 {
+				want = wire.JobDone
+			}
+			if err != nil || st.Status != want || st.ID != fmt.Sprint("j-", i) {
+				wrong.Add(1)
+			}
+		})
+	}
+	for int(reads.Load()) < lookupers || len(n.lookups) < users-lookupers*24 {
+		runtime.Gosched()
+	}
+	close(release)
+	all.Wait()
+	if got := reads.Load(); got > users/5 || wrong.Load() > 0 {
+		t.Errorf("%d users cost %d reads, %d answers were wrong", users, got, wrong.Load())
+	}
+}
+
 // An end that the watch brings while a query reads it must not turn the query
 // into a 404, nor into an older answer.
 func TestEndDuringQuery(t *testing.T) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -42,15 +42,14 @@
 	Answer wire.ReportAnswer `msgpack:"a"`
 }
 
-// Counts asks for a job's display counts.
+// Counts asks for jobs' display counts.
 type Counts struct {
-	ID string `msgpack:"i"`
+	IDs []string `msgpack:"i"`
 }
 
-// CountsAnswer holds them.
+// CountsAnswer holds them for the jobs that the overseer knows.
 type CountsAnswer struct {
-	Known  bool           `msgpack:"k"`
-	Status wire.JobStatus `msgpack:"s"`
+	Jobs []wire.JobStatus `msgpack:"j"`
 }
 
 // Server is implemented by the node.
@@ -128,6 +127,6 @@
 }
 
 // Counts asks for display counts.
-func (c *Client) Counts(ctx context.Context, id string) (*CountsAnswer, error) {
-	return call[CountsAnswer](c, 400*time.Millisecond, ctx, "Counts", &Counts{ID: id})
+func (c *Client) Counts(ctx context.Context, ids []string) (*CountsAnswer, error) {
+	return call[CountsAnswer](c, 400*time.Millisecond, ctx, "Counts", &Counts{IDs: ids})
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"dalefront/internal/httpc"
 	"dalefront/wire"
 )
@@ -33,21 +31,22 @@
 type Client struct {
 	calls   *httpc.Client
 	watches *httpc.Client
-	reads   *rate.Limiter
-	writes  *rate.Limiter
+	reads   *pace // all requests
+	writes  *pace // changes
 
 	mu     sync.Mutex
 	lastOK time.Time
 	failed time.Time
 }
 
-// New returns a client that keeps to its share of the service's limits.
-func New(addr string, rps, writeRPS float64) *Client {
+// New returns a client that keeps to its share of the service's limits, which
+// so many nodes have in common.
+func New(addr string, rps, writeRPS float64, nodes int) *Client {
 	return &Client{
 		calls:   httpc.New("http://"+addr, 12),
 		watches: httpc.New("http://"+addr, 4),
-		reads:   rate.NewLimiter(rate.Limit(rps*0.7), max(1, int(rps/2))),
-		writes:  rate.NewLimiter(rate.Limit(writeRPS*0.7), max(1, int(writeRPS*0.8))),
+		reads:   newPace(rps, nodes, int(rps/4)),
+		writes:  newPace(writeRPS, nodes, int(writeRPS*0.8)),
 	}
 }
 
@@ -83,16 +82,30 @@
 
 const callLimit = 1500 * time.Millisecond
 
+// Urgent marks the requests of a context as urgent: they don't wait for this
+// node's share of the limit. What keeps a term or decides for the whole cluster
+// is urgent, and comes one request at a time; what grows with the users is not.
+func Urgent(ctx context.Context) context.Context { return context.WithValue(ctx, urgentKey{}, true) }
+
+type urgentKey struct{}
+
+func urgent(ctx context.Context) bool { return ctx.Value(urgentKey{}) != nil }
+
 // call sends one request; a 429 was not executed, so it is sent again a few
 // times within the call's own patience.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
-	var err error
+	return c.try(ctx, callLimit, c.reads, method, path, in, out)
+}
+
+func (c *Client) try(ctx context.Context, limit time.Duration, p *pace, method, path string, in, out any) error {
 	for i := 0; ; i++ {
-		if e := c.reads.Wait(ctx); e != nil {
+		if e := c.reads.wait(ctx, 1, urgent(ctx)); e != nil {
 			return fmt.Errorf("%w: %v", ErrRefused, e)
 		}
-		err = c.calls.Call(ctx, callLimit, method, path, in, out)
-		if httpc.Code(err) != http.StatusTooManyRequests || i == 4 {
+		err := c.calls.Call(ctx, limit, method, path, in, out)
+		crowded := httpc.Code(err) == http.StatusTooManyRequests
+		p.heard(crowded, time.Now())
+		if !crowded || i == 4 {
 			return c.note(err)
 		}
 		select {
@@ -145,12 +158,14 @@
 	if txn.If == nil {
 		txn.If = []wire.Cond{}
 	}
+	p := c.reads
 	if n := len(txn.Then); n > 0 {
-		if err := c.writes.WaitN(ctx, min(n, c.writes.Burst())); err != nil {
+		p = c.writes
+		if err := p.wait(ctx, n, false); err != nil {
 			return a, fmt.Errorf("%w: %v", ErrRefused, err)
 		}
 	}
-	err := c.call(ctx, http.MethodPost, "/multi", txn, &a)
+	err := c.try(ctx, callLimit, p, http.MethodPost, "/multi", txn, &a)
 	var se *httpc.StatusError
 	if errors.As(err, &se) {
 		switch {
@@ -170,10 +185,9 @@
 	return l.ID, err
 }
 
-// Touch renews a lease. It is not queued behind other requests: the budget of
-// reads leaves room for it.
+// Touch renews a lease. It is urgent: it never queues behind other requests.
 func (c *Client) Touch(ctx context.Context, id uint64) error {
-	err := c.note(c.calls.Call(ctx, time.Second, http.MethodPost, fmt.Sprintf("/holds/%d/touch", id), struct{}{}, nil))
+	err := c.try(Urgent(ctx), time.Second, c.reads, http.MethodPost, fmt.Sprintf("/holds/%d/touch", id), struct{}{}, nil)
 	if httpc.Code(err) == http.StatusNotFound {
 		return ErrNoLease
 	}
@@ -189,7 +203,7 @@
 // time runs out. Watches say nothing about reachability: an outage leaves them
 // open.
 func (c *Client) Changes(ctx context.Context, prefix string, from uint64, hold time.Duration) (wire.Events, error) {
-	if err := c.reads.Wait(ctx); err != nil {
+	if err := c.reads.wait(ctx, 1, urgent(ctx)); err != nil {
 		return wire.Events{}, fmt.Errorf("%w: %v", ErrRefused, err)
 	}
 	q := url.Values{"Starts": {prefix}, "From": {fmt.Sprint(from)}, "HoldMs": {fmt.Sprint(hold.Milliseconds())}}
