Confirm the term after a standstill; blame jobs that fail everywhere, not machines

Standstill: a woken overseer answered reports and judged silences before it had read its term: it took its own absence for the workers' silence.

Ruled out: late listing, which returned no machine that still reported.

Changed: the owner goroutine measures gaps between its turns and acts for its term again only after reading it; returns to the cloud are preceded by a check of the term; commands as old as a standstill are dropped; nothing is learned from it. A job that failed on two machines and did nothing anywhere is tried with one task after ever longer pauses, evicts, keeps and rents nothing, and speaks against no machine.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -56,11 +56,16 @@
 	}
 }
 
+var errNotMine = errors.New("the term may be another node's")
+
 func (r *reign) cloudRound(returns []string, hires []wire.Hire, list bool) {
 	n := r.n
 	defer n.post(func() { r.busyCloud = false; n.dirty = true })
 	if len(returns) > 0 {
-		err := n.cloud.Return(r.ctx, returns)
+		err := errNotMine
+		if r.mine() {
+			err = n.cloud.Return(r.ctx, returns)
+		}
 		n.post(func() {
 			if n.reign != r {
 				return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dalefront/internal/api"
@@ -38,6 +39,8 @@
 	reign *reign
 	dirty bool
 
+	beat atomic.Int64 // when the owner goroutine last came by
+
 	mu       sync.Mutex
 	leader   string // who holds the term, as far as known
 	token    uint64 // highest token known
@@ -132,17 +135,21 @@
 	defer settle.Stop()
 	armed := false
 	var took time.Duration
+	n.beat.Store(n.now())
 	for {
+		n.beat.Store(n.now())
 		select {
 		case <-ctx.Done():
 			return
 		case f := <-n.events:
+			n.woke()
 			f()
 			if n.dirty && !armed {
 				armed = true
 				settle.Reset(max(20*time.Millisecond, 3*took))
 			}
 		case <-settle.C:
+			n.woke()
 			armed = false
 			n.dirty = false
 			if n.reign != nil {
@@ -151,6 +158,7 @@
 				took = min(time.Since(began), 100*time.Millisecond) // a small share of the processor
 			}
 		case <-tick.C:
+			n.woke()
 			if n.reign != nil {
 				n.reign.tick()
 			}
@@ -158,6 +166,25 @@
 	}
 }
 
+// standstill is the longest gap between two turns of the owner goroutine that is
+// not taken for a standstill of the whole process.
+const standstill = int64(time.Second / time.Microsecond)
+
+// awake says whether the owner goroutine came by lately. After a standstill
+// whatever wakes first must not act for a term that another node may hold by now.
+func (n *Node) awake() bool { return n.now()-n.beat.Load() < standstill }
+
+// woke notices a standstill: it runs before anything else that a turn does, since
+// to this node everything timed looks overdue and all workers look silent.
+func (n *Node) woke() {
+	now := n.now()
+	gap := now - n.beat.Load()
+	n.beat.Store(now)
+	if gap >= standstill && n.reign != nil {
+		n.reign.doubts(gap)
+	}
+}
+
 // do runs f on the owner goroutine and waits for it. A full queue is refused.
 func (n *Node) do(ctx context.Context, f func()) bool {
 	done := make(chan struct{})
@@ -378,7 +405,7 @@
 	}
 	var fresh chan []wire.Order
 	done := n.do(ctx, func() {
-		if n.reign == nil || ctx.Err() != nil {
+		if n.reign == nil || n.reign.doubt > 0 || ctx.Err() != nil {
 			return
 		}
 		a, ok = n.reign.core.Report(r, n.now()), true
@@ -410,9 +437,9 @@
 		case <-t.C:
 		case <-ctx.Done():
 		}
-		if _, _, reigning := n.view(); reigning != a.Token {
-			return a, false
-		}
+	}
+	if _, _, reigning := n.view(); reigning != a.Token || !n.awake() {
+		return a, false
 	}
 	return a, true
 }
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -26,6 +26,7 @@
 	cancel context.CancelFunc
 
 	// Owned by the owner goroutine.
+	doubt        int64 // after a standstill of so long: nothing is done until the term is confirmed
 	waiters      []waiter
 	passes       int // scheduling passes so far
 	busyCommit   bool
@@ -119,6 +120,78 @@
 	}
 }
 
+// doubts stops all acting after a standstill until the term was read again: in
+// the meantime another node may have taken it, and reports, returns and silences
+// seen from here are as old as the gap. Owner goroutine.
+func (r *reign) doubts(gap int64) {
+	n := r.n
+	before := r.doubt
+	r.doubt += gap
+	n.mu.Lock()
+	if n.reigning == r.token {
+		n.reigning = 0
+	}
+	n.mu.Unlock()
+	n.log.Info("stood still", "for_us", gap, "token", r.token)
+	if before == 0 {
+		go r.confirm()
+	}
+}
+
+// confirm reads the term. While the state service is out of reach nobody can have
+// taken it, unless it is out of reach for this node alone; peers that know better
+// say so within their hello, and until the service answers nothing is started.
+func (r *reign) confirm() {
+	n := r.n
+	for tries := 0; r.ctx.Err() == nil; tries++ {
+		e, found, err := n.state.Get(r.ctx, termKey)
+		switch {
+		case err == nil && (!found || e.Version != r.token):
+			n.log.Info("term lost", "token", r.token)
+			n.post(func() { r.end() })
+			return
+		case err == nil || tries >= 12:
+			n.post(r.resume)
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// resume goes on after a standstill. Owner goroutine.
+func (r *reign) resume() {
+	n := r.n
+	if n.reign != r {
+		return
+	}
+	n.mu.Lock()
+	if n.token == r.token {
+		n.reigning = r.token
+	}
+	n.mu.Unlock()
+	r.core.Slept(r.doubt, n.now())
+	r.doubt = 0
+	n.dirty = true
+}
+
+// mine says whether the term is still this node's, as far as it can tell: what is
+// said to the cloud is, unlike what is stored, not conditional on it.
+func (r *reign) mine() bool {
+	n := r.n
+	if r.ctx.Err() != nil || !n.awake() {
+		return false
+	}
+	if !n.state.Reachable(3 * time.Second) {
+		return true // nobody else can act, and cancelled tasks have to go
+	}
+	_, err := n.state.Multi(r.ctx, wire.Txn{If: []wire.Cond{r.termCond()}})
+	if errors.Is(err, state.ErrConflict) {
+		n.post(func() { r.end() })
+		return false
+	}
+	return n.awake()
+}
+
 // end stops acting. It runs on the owner goroutine.
 func (r *reign) end() {
 	n := r.n
@@ -332,6 +405,9 @@
 // pass schedules and starts what follows from it. Owner goroutine.
 func (r *reign) pass() {
 	n := r.n
+	if r.doubt > 0 {
+		return
+	}
 	if !r.busyCommit && n.state.Reachable(3*time.Second) {
 		r.passes++
 		if cm := r.core.Schedule(n.now()); cm != nil {
@@ -391,6 +467,9 @@
 func (r *reign) tick() {
 	n := r.n
 	now := n.now()
+	if r.doubt > 0 {
+		return
+	}
 	r.pass()
 	reachable := n.state.Reachable(3 * time.Second)
 	if !r.busyProgress && reachable {
@@ -443,6 +522,9 @@
 		case <-r.ctx.Done():
 			return
 		case d := <-r.directs:
+			if !r.n.awake() {
+				continue // as old as the standstill; a report's answer repeats it
+			}
 			_, _ = r.n.worker.Orders(r.ctx, d.Addr, d.Orders)
 		}
 	}
--- /dev/null
+++ b/internal/node/standstill_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"dalefront/internal/sched"
+	"dalefront/wire"
+)
+
+// A controller that stood still must not answer for its term, nor return machines,
+// before it has read the term again: another may have taken it. Found again, it
+// goes on; otherwise it stops acting for good.
+func TestStandstill(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		term uint64
+		acts bool
+	}{{"kept", 5, true}, {"taken", 6, false}} {
+		n := testNode(t, func(w http.ResponseWriter, r *http.Request) {
+			b, _ := wire.Marshal(wire.Entry{Key: termKey, Version: c.term, Value: []byte{0x80}})
+			_, _ = w.Write(b)
+		})
+		f := 1.0
+		n.set.Operator.EvictAfterS, n.set.Operator.CheckpointMBS = &f, &f
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		r := &reign{n: n, token: 5, ctx: ctx, cancel: cancel, core: sched.New(n.set, 5, n.now(), wire.Catalog{}, func(string, ...any) {})}
+		n.reign, n.reigning, n.token = r, 5, 5
+		n.beat.Store(n.now() - 25*standstill)
+		if n.awake() || r.mine() {
+			t.Errorf("%s: what woke before the owner goroutine may act", c.name)
+		}
+		n.woke()
+		rep := wire.Report{Host: "n-1", Type: "s", Zone: "x", Session: 1, Seq: 1, Token: 5}
+		if _, ok := n.report(ctx, &rep); ok {
+			t.Errorf("%s: a report was answered before the term was read", c.name)
+		}
+		if r.pass(); r.passes > 0 {
+			t.Errorf("%s: scheduled before the term was read", c.name)
+		}
+		(<-n.events)() // what reading the term leads to
+		if _, _, reigning := n.view(); (reigning == 5) != c.acts || (n.reign == r) != c.acts {
+			t.Errorf("%s: acts under %d", c.name, reigning)
+		}
+	}
+}
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -446,7 +446,10 @@
 	}
 	var need []demand
 	for _, j := range c.queue() {
-		n := j.pending()
+		n := min(j.pending(), c.tries(j))
+		if !c.mayRent(j) {
+			continue
+		}
 		if !j.gang() {
 			// Tasks shorter than a boot can run one after another.
 			est := float64(j.estimate()) / float64(second)
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -85,9 +85,10 @@
 	cursor     int32
 
 	notBefore  Micros
-	errors     int
-	errorHosts map[string]bool
-	waitSince  Micros // since when something waits, 0 if nothing does
+	rounds     int             // failures in a row, those of one start counted once
+	errorHosts map[string]bool // machines on which it failed since it last did well
+	failAfter  Micros          // the longest that a task ran before it failed
+	waitSince  Micros          // since when something waits, 0 if nothing does
 	evictions  int
 	within     bool   // it fits its team's guarantee with the team's earlier jobs
 	noRoomTill Micros // nothing could be cleared for it; not tried again before
@@ -288,9 +289,9 @@
 	lost      bool // silent beyond its lease
 	failed    bool
 	bad       bool
-	errJobs   map[string]bool
-	avoid     Micros  // place nothing before
-	slow      float64 // how its tasks' run times compare with the usual, 1 is usual
+	errJobs   map[*job]bool // that failed on it since a task last completed there
+	avoid     Micros        // place nothing before
+	slow      float64       // how its tasks' run times compare with the usual, 1 is usual
 
 	tasks          map[taskKey][]*placement
 	n              int
@@ -330,6 +331,7 @@
 	token    uint64
 	seq      uint64
 	since    Micros // start of this term
+	woke     Micros // end of the last standstill
 	types    map[string]*wire.MachineType
 	jobs     map[string]*job
 	machines map[string]*machine
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -314,7 +314,7 @@
 		}
 		if !j.gang() {
 			c.placeTasks(j, b)
-		} else if !c.placeGang(j, b) {
+		} else if !c.placeGang(j, b) && !j.suspect() {
 			gangs = append(gangs, j)
 		}
 	}
@@ -339,8 +339,9 @@
 func (c *Core) placeTasks(j *job, b *batch) {
 	zones := j.zones()
 	attempt := uint64(0)
+	tries := c.tries(j)
 	for {
-		if _, ok := j.next(); !ok {
+		if _, ok := j.next(); !ok || len(j.placements) >= tries {
 			return
 		}
 		if !j.team.allows(j.spec.CPUs, j.spec.GPUs) {
@@ -355,7 +356,7 @@
 			attempt = c.attempt()
 		}
 		var got []*placement
-		for b.takes(j, b.cost(m), 1, len(got)+1) && c.takesMore(j, m, zones) && j.team.allows(j.spec.CPUs, j.spec.GPUs) {
+		for len(j.placements) < tries && b.takes(j, b.cost(m), 1, len(got)+1) && c.takesMore(j, m, zones) && j.team.allows(j.spec.CPUs, j.spec.GPUs) {
 			t, ok := j.next()
 			if !ok {
 				break
@@ -399,6 +400,9 @@
 		if m.recallAt > 0 && m.confirmed {
 			c.drain(m)
 		}
+		if len(m.errJobs) >= strikesOut {
+			c.judge(m)
+		}
 	}
 	for _, j := range c.jobs {
 		if j.gang() && j.broken {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -15,7 +15,7 @@
 		c.types[typ] = t
 	}
 	m := &machine{slow: 1, host: host, addr: addr, kind: t, zone: zone, spot: spot, born: c.now, idleSince: c.now,
-		tasks: map[taskKey][]*placement{}, images: map[string]Micros{}, fetchingImages: map[string]Micros{}, errJobs: map[string]bool{}}
+		tasks: map[taskKey][]*placement{}, images: map[string]Micros{}, fetchingImages: map[string]Micros{}, errJobs: map[*job]bool{}}
 	c.machines[host] = m
 	i := sort.Search(len(c.order), func(k int) bool { return c.order[k].host >= host })
 	c.order = slices.Insert(c.order, i, m)
@@ -108,6 +108,25 @@
 	c.tryForget(j)
 }
 
+// Slept says that the controller stood still for so long. Its own absence is not
+// the workers' silence: what was measured against the clock goes on from where it
+// was, and what took the gap to be noticed teaches nothing about run times.
+func (c *Core) Slept(gap, now Micros) {
+	c.now, c.woke, c.changed = now, now, true
+	for _, m := range c.order {
+		if m.lastHello > 0 {
+			m.lastHello = min(now, m.lastHello+gap)
+		}
+		m.idleSince = min(now, m.idleSince+gap)
+	}
+}
+
+// learns says whether times measured now mean anything: shortly after a
+// standstill or a takeover what is seen may have happened long before.
+func (c *Core) learns() bool {
+	return c.now-max(c.woke, c.since) >= 2*config.Micro(c.set.Deployment.Workers.ReportS)+second
+}
+
 // Report takes a worker's report that this overseer is entitled to answer with
 // 200, and returns the answer.
 //
@@ -266,7 +285,7 @@
 
 func (c *Core) exited(m *machine, j *job, num int32, t *wire.TaskReport, p *placement) {
 	if t.Cause == wire.CauseDone {
-		if p != nil && p.running > 0 && j.spec.EstimateS > 0 && !j.isDone(num) {
+		if p != nil && p.running > 0 && j.spec.EstimateS > 0 && !j.isDone(num) && !p.loaded && c.learns() {
 			actual := float64(c.now-p.running) / float64(second) / j.spec.EstimateS
 			// A faulty machine can be much slower than others of its type: compare
 			// with what the class usually takes, and forget slowly.
@@ -287,28 +306,14 @@
 	case wire.CauseStopped:
 		if t.Saved && p.running > 0 {
 			j.savedRun += c.now - p.running
-			if took := float64(c.now-p.stopSent) / float64(second); p.checkpoint && took > 0 && j.spec.MemoryGB > 0 {
+			if took := float64(c.now-p.stopSent) / float64(second); p.checkpoint && took > 0 && j.spec.MemoryGB > 0 && c.learns() {
 				// The paper's bandwidth, learned from saves that were observed.
 				c.bwWrite += 0.2 * (j.spec.MemoryGB/max(took, 0.5) - c.bwWrite)
 			}
 		}
 	case wire.CauseError:
 		c.Stats.Errors++
-		m.errJobs[j.id] = true
-		if j.errorHosts == nil {
-			j.errorHosts = map[string]bool{}
-		}
-		j.errorHosts[m.host] = true
-		j.errors++
-		// A faulty machine fails many jobs, a faulty job fails on many machines:
-		// the machine rests a little, the job waits ever longer.
-		m.avoid = c.now + 10*second
-		if len(m.errJobs) >= 2 {
-			m.bad = true
-		}
-		if len(j.errorHosts) >= 2 {
-			j.notBefore = c.now + min(60, Micros(1)<<min(j.errors, 6))*second
-		}
+		c.blame(j, m, p)
 	case wire.CauseNoRoom, wire.CauseBusy:
 		m.avoid = c.now + 3*second
 	case wire.CauseUnknown:
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -376,38 +376,136 @@
 	}
 }
 
-// A job that fails everywhere waits longer and longer; a machine that fails
-// several jobs is returned.
-func TestFaults(t *testing.T) {
-	b := newBed(t, config.Team{Name: "a"})
-	b.AddJob(spec("j-1", "a", wire.Normal, 1, 8), b.now, b.now)
-	starts := 0
-	for i := 0; i < 600; i++ {
+// failing plays some time in which all tasks of a job fail once they have started,
+// and returns how many did.
+func (b *bed) failing(id string, seconds int, hosts ...string) (starts int) {
+	for i := 0; i < 2*seconds; i++ {
 		b.now += second / 2
-		for _, h := range []string{"n-1", "n-2", "n-3"} {
+		for _, h := range hosts {
+			m := b.machines[h]
 			b.report(h, "s", "x", 1)
-			if b.machines[h].n > 0 {
-				starts++
-				run := b.running(h)
-				run[0].State, run[0].Cause = wire.TaskExited, wire.CauseError
-				b.report(h, "s", "x", 1, run...)
-			}
+			var run []wire.TaskReport
+			m.each(func(p *placement) {
+				t := wire.TaskReport{Task: wire.TaskName(p.job.id, p.task), Attempt: p.attempt, State: wire.TaskRunning}
+				if p.job.id == id {
+					starts++
+					t.State, t.Cause = wire.TaskExited, wire.CauseError
+				}
+				run = append(run, t)
+			})
+			b.report(h, "s", "x", 1, run...)
+		}
+		b.schedule()
+	}
+	return starts
+}
+
+// A job submitted with a mistake fails on every machine. Its tasks used to make
+// all machines rest, two such jobs had healthy machines returned, and each retry
+// started all its tasks. It is tried with one task after ever longer pauses, in
+// room that is there, and blames no machine; it is never given up.
+func TestBrokenJob(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	hosts := []string{"n-1", "n-2", "n-3"}
+	for _, h := range hosts {
+		b.report(h, "s", "x", 1)
+	}
+	for _, id := range []string{"j-1", "j-2"} {
+		b.AddJob(spec(id, "a", wire.High, 30, 1), b.now, b.now)
+		if first := b.failing(id, 3, hosts...); first < 10 {
+			t.Fatalf("only %d tasks of %s started", first, id)
+		}
+	}
+	if more := b.failing("j-1", 240, hosts...); more < 3 || more > 10 {
+		t.Errorf("a broken job was started %d times more in 240 s", more)
+	}
+	for _, h := range hosts {
+		if m := b.machines[h]; m.bad || m.avoid > b.now {
+			t.Errorf("%s is blamed", h)
+		}
+	}
+	j := b.jobs["j-2"]
+	j.notBefore = b.now
+	if b.mayEvict(j) || b.mayRent(j) || b.tries(j) != 1 {
+		t.Error("a broken job may evict or rent, or is tried with all its tasks")
+	}
+	// Once a task of it runs for long it is trusted again.
+	b.schedule()
+	for i := 0; i < 40; i++ {
+		b.now += second
+		for _, h := range hosts {
+			b.report(h, "s", "x", 1, b.running(h)...)
 		}
 		b.schedule()
 	}
-	if starts < 3 || starts > 20 {
-		t.Errorf("a faulty job was started %d times in 300 s", starts)
+	if len(j.placements) < 20 {
+		t.Errorf("%d tasks of a job that runs well were placed", len(j.placements))
+	}
+}
+
+// A machine on which jobs fail that do well elsewhere is returned.
+func TestFaultyMachine(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	for _, h := range []string{"n-1", "n-2"} {
+		b.report(h, "s", "x", 1)
+	}
+	for _, id := range []string{"j-1", "j-2"} {
+		b.AddJob(spec(id, "a", wire.Normal, 2, 2), b.now, b.now)
+		for i, h := range []string{"n-1", "n-2"} {
+			p := b.place(b.jobs[id], int32(i), b.machines[h], 900)
+			p.stored = true
+			end := wire.TaskReport{Task: wire.TaskName(id, int32(i)), Attempt: 900, State: wire.TaskExited, Cause: wire.CauseError}
+			if h == "n-2" {
+				end.Cause = wire.CauseDone
+			}
+			b.report(h, "s", "x", 1, end)
+		}
+	}
+	b.now += second
+	for _, h := range []string{"n-1", "n-2"} {
+		b.report(h, "s", "x", 1)
+		b.machines[h].idleSince = b.now // not for idling
+	}
+	b.tend()
+	if back := b.Returns(b.now, false); !slices.Equal(back, []string{"n-1"}) {
+		t.Errorf("returned %v, not just n-1, which failed jobs that did well elsewhere", back)
+	}
+}
+
+// After a standstill of the controller its own absence must not look like the
+// workers' silence: all machines were taken for lost and given back.
+func TestStandstill(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.AddJob(spec("j-1", "a", wire.Normal, 3, 8), b.now, b.now)
+	hosts := []string{"n-1", "n-2", "n-3"}
+	for _, h := range hosts {
+		b.report(h, "s", "x", 1)
 	}
-	for i := 0; i < 2; i++ {
-		id := "j-7" + string(rune('0'+i))
-		b.AddJob(spec(id, "a", wire.Normal, 1, 8), b.now, b.now)
-		p := b.place(b.jobs[id], 0, b.machines["n-1"], uint64(900+i))
-		p.stored = true
-		b.report("n-1", "s", "x", 1, wire.TaskReport{Task: id + "/0", Attempt: uint64(900 + i), State: wire.TaskExited, Cause: wire.CauseError})
+	b.schedule()
+	ratio := b.jobs["j-1"].class.ratio
+	for i := 0; i < 5; i++ {
+		b.now += second
+		for _, h := range hosts {
+			b.report(h, "s", "x", 1, b.running(h)...)
+		}
+	}
+	const gap = 25 * second
+	b.now += gap
+	b.Slept(gap, b.now)
+	b.tend()
+	if b.Blind(b.now) || len(b.Returns(b.now, false)) > 0 || b.Stats.LeasesLost > 0 {
+		t.Error("machines were given up for the controller's own absence")
+	}
+	run := b.running("n-1")
+	run[0].State, run[0].Cause = wire.TaskExited, wire.CauseDone
+	b.report("n-1", "s", "x", 1, run...)
+	if got := b.jobs["j-1"].class.ratio; got != ratio {
+		t.Errorf("a run time was learned from the standstill: %v, before %v", got, ratio)
 	}
-	b.machines["n-1"].idleSince = b.now // not for idling
-	if back := b.Returns(b.now, false); !slices.Contains(back, "n-1") {
-		t.Errorf("returned %v, not n-1, which failed several jobs", back)
+	b.now += 2 * 10 * second
+	b.tend()
+	if b.Stats.LeasesLost != 3 {
+		t.Error("workers that stay silent are not noticed any more")
 	}
 }
 
--- a/internal/sched/why.go
+++ b/internal/sched/why.go
@@ -62,6 +62,9 @@
 	switch {
 	case c.now < j.notBefore:
 		w.Why = "its tasks failed"
+		if j.suspect() {
+			w.Why = "it fails on every machine"
+		}
 	case j.gang() && (j.broken || leaving || j.started && len(j.placements) > 0):
 		w.Why = "the last attempt is still leaving"
 	case !j.team.allows(n*j.spec.CPUs, n*j.spec.GPUs):
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -47,6 +47,8 @@
 	nonce   int   // of the report in flight
 	echo    int64 // until when a peer renews its lease instead of the overseer
 	recall  int64
+	never   bool // it never comes up
+	faulty  bool // every task fails on it
 }
 
 type message struct {
@@ -64,6 +66,23 @@
 	at int64
 }
 
+// list is the cloud's list of machines as of a moment.
+type list struct {
+	at    int64
+	hosts []wire.Machine
+}
+
+// hired is the answer to a rental request that is still on its way.
+type hired struct {
+	at    int64
+	core  *sched.Core
+	hire  wire.Hire
+	hosts []string
+}
+
+// Broken is the class of jobs that fail on every machine.
+const Broken = "broken"
+
 // World is the simulated outside and the core under test.
 type World struct {
 	Rng     *rand.Rand
@@ -90,11 +109,14 @@
 	commit   *sched.Commit
 	commitAt int64
 	watch    []news
+	lists    []list
+	hires    []hired
 
 	completed map[string]map[string]bool // job -> tasks completed
 	forgotten map[string]bool
 	Most      int // machines that the cloud has
 	Runs      int // tasks started
+	Failed    int // of these, at once
 	Done      int // jobs done
 	Broken    []string
 }
@@ -229,7 +251,7 @@
 func (w *World) lease() int64 { return config.Micro(w.Set.Deployment.Workers.LeaseS) }
 
 func (w *World) workerStep(k *worker) {
-	if k.dead {
+	if k.dead || k.never {
 		return
 	}
 	if w.Now-k.renewed > w.lease() {
@@ -319,8 +341,12 @@
 			w.broken("wrong_place: %s starts on type %s", t.name, k.typ.Name)
 		}
 	}
-	if w.completed[id][t.name] {
+	switch {
+	case w.completed[id][t.name]:
 		w.exit(k, t, wire.CauseDone) // the result is kept
+	case j.Class == Broken || k.faulty:
+		w.Failed++
+		w.exit(k, t, wire.CauseError)
 	}
 }
 
@@ -433,6 +459,7 @@
 // overseerStep carries out the core's effects, with delays and refusals.
 func (w *World) overseerStep() {
 	c := w.Core
+	w.cloud()
 	for len(w.watch) > 0 && w.watch[0].at <= w.Now {
 		id := w.watch[0].id
 		w.watch = w.watch[1:]
@@ -457,21 +484,7 @@
 			c.Refused(cm, w.Now)
 		}
 	}
-	for _, d := range c.Directs() {
-		for _, o := range d.Orders.Orders {
-			if o.Op != wire.Stop { // it may be executed minutes late
-				w.broken("a %s of %s was sent straight to a worker", o.Op, o.Task)
-			}
-		}
-		for _, h := range keys(w.workers) {
-			if k := w.workers[h]; h+":1" == d.Addr && !k.dead && k.session == d.Orders.Session && k.token <= d.Orders.Token && w.Rng.IntN(2) == 0 {
-				k.seq++
-				for _, o := range d.Orders.Orders {
-					w.execute(k, o)
-				}
-			}
-		}
-	}
+	w.direct(c)
 	for _, id := range c.Ends() {
 		if w.ends[id] == "" {
 			if n := len(w.completed[id]); n < w.jobs[id].Tasks {
@@ -517,10 +530,104 @@
 			for i := 0; i < h.Count && len(w.workers) < w.Most; i++ {
 				w.Boot(h.Type, h.Zone, h.Spot)
 				hosts = append(hosts, fmt.Sprintf("n-%06d", w.nextID))
+				k := w.workers[hosts[i]]
+				k.never, k.faulty = w.Rng.IntN(8) == 0, w.Rng.IntN(10) == 0
+			}
+			// Machines may be up before the answer that names them.
+			w.hires = append(w.hires, hired{w.Now + int64(w.Rng.IntN(int(4*second))), c, h, hosts})
+		}
+	}
+}
+
+// direct brings a core's direct commands to the workers.
+func (w *World) direct(c *sched.Core) {
+	for _, d := range c.Directs() {
+		for _, o := range d.Orders.Orders {
+			if o.Op != wire.Stop { // it may be executed minutes late
+				w.broken("a %s of %s was sent straight to a worker", o.Op, o.Task)
 			}
-			c.Hired(h, hosts, w.Now)
+		}
+		for _, h := range keys(w.workers) {
+			if k := w.workers[h]; h+":1" == d.Addr && !k.dead && k.session == d.Orders.Session && k.token <= d.Orders.Token && w.Rng.IntN(2) == 0 {
+				k.seq++
+				for _, o := range d.Orders.Orders {
+					w.execute(k, o)
+				}
+			}
+		}
+	}
+}
+
+// Standstill lets the overseer stand still while everything else goes on. If its
+// term ran out another takes over, and when the old one wakes it does, without
+// having noticed anything, what it was about to do: its commands and its returns go
+// out, its writes are refused. Otherwise it notices the gap and goes on.
+func (w *World) Standstill(gap int64, lost bool) {
+	old := w.Core
+	taken := false
+	for from := w.Now; w.Now < from+gap; w.Check() {
+		w.Now += int64(1+w.Rng.IntN(100)) * 1000
+		for _, h := range keys(w.workers) {
+			w.workerStep(w.workers[h])
+		}
+		if lost && !taken && w.Now > from+2*second {
+			w.Takeover()
+			taken = true
+		}
+		if taken {
+			w.deliver()
+			w.overseerStep()
+		}
+	}
+	if !taken {
+		old.Slept(gap, w.Now)
+		return
+	}
+	for _, h := range keys(w.workers) {
+		k := w.workers[h]
+		old.Report(&wire.Report{Host: h, Addr: h + ":1", Type: k.typ.Name, Zone: k.zone, Spot: k.spot, Session: k.session, Seq: k.seq, Token: old.Token()}, w.Now)
+	}
+	if cm := old.Schedule(w.Now); cm != nil {
+		old.Refused(cm, w.Now)
+	}
+	w.direct(old)
+	back := old.Returns(w.Now, old.Blind(w.Now))
+	for _, h := range back[:min(3, len(back))] {
+		delete(w.workers, h)
+	}
+}
+
+// cloud lets lists, which lag and may be older than the last, and the answers to
+// rental requests arrive.
+func (w *World) cloud() {
+	if w.Rng.IntN(30) == 0 {
+		l := list{at: w.Now}
+		for _, h := range keys(w.workers) {
+			k := w.workers[h]
+			if k.dead && w.Rng.IntN(2) == 0 {
+				continue
+			}
+			l.hosts = append(l.hosts, wire.Machine{ID: h, Addr: h + ":1", Type: k.typ.Name, Zone: k.zone, Spot: k.spot, State: wire.HostRunning, AgeS: float64(w.Now-k.born) / 1e6})
+		}
+		w.lists = append(w.lists, l)
+	}
+	for len(w.lists) > 0 && w.Now-w.lists[0].at > 2*config.Micro(w.Set.Deployment.Cloud.ListLagS) {
+		w.lists = w.lists[1:]
+	}
+	if w.Rng.IntN(40) == 0 && len(w.lists) > 0 {
+		w.Core.Machines(w.lists[w.Rng.IntN(len(w.lists))].hosts, w.Now)
+	}
+	left := w.hires[:0]
+	for _, h := range w.hires {
+		switch {
+		case h.core != w.Core: // the one who asked is gone; the list shows the machines
+		case h.at > w.Now:
+			left = append(left, h)
+		default:
+			w.Core.Hired(h.hire, h.hosts, w.Now)
 		}
 	}
+	w.hires = left
 }
 
 // Check looks at the state as it is.
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -119,6 +119,56 @@
 	}
 }
 
+// TestTroubles plays, beside what TestRules plays, what the operators met later:
+// controllers that stand still and wake to a term that is another's, machines that
+// run before they are listed or never boot, machines on which everything fails and
+// jobs that fail on every machine. The others get done all the same.
+func TestTroubles(t *testing.T) {
+	runs, failed, stood, done := 0, 0, 0, 0
+	for seed := uint64(100); seed < 116; seed++ {
+		w := world(t, seed)
+		for i := 0; i < 4; i++ {
+			w.Boot([]string{"s", "g"}[i%2], []string{"x", "y"}[i/2%2], i%3 == 0)
+		}
+		jobs := 0
+		for step := 0; step < 4000; step++ {
+			r := w.Rng
+			if r.IntN(60) == 0 && len(w.Active()) < 12 && step < 2500 {
+				jobs++
+				j := randomJob(w, jobs)
+				if r.IntN(5) == 0 {
+					j.Class = Broken
+				}
+				if sched.Admit(w.Set, w.Catalog, &j) == nil {
+					w.Submit(j)
+				}
+			}
+			for _, id := range w.Active() {
+				if j := w.jobs[id]; (j.Class == Broken || j.Shape == wire.Service) && r.IntN(600) == 0 {
+					w.Cancel(id)
+				}
+			}
+			if r.IntN(300) == 0 {
+				w.Standstill(int64(r.IntN(int(30*second))), r.IntN(3) > 0)
+				stood++
+			}
+			if r.IntN(900) == 0 {
+				w.Kill()
+			}
+			w.Step()
+			if len(w.Broken) > 0 {
+				t.Fatalf("seed %d, step %d: %s", seed, step, w.Broken[0])
+			}
+		}
+		runs += w.Runs
+		failed += w.Failed
+		done += w.Done
+	}
+	if runs < 500 || failed < 50 || stood < 50 || done < 100 {
+		t.Fatalf("the worlds did too little to show anything: %d starts, %d failed, %d standstills, %d jobs done", runs, failed, stood, done)
+	}
+}
+
 // TestChecksCanFail plants one violation of each kind.
 func TestChecksCanFail(t *testing.T) {
 	plant := func(kind string, f func(w *World)) {
