--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -24,6 +24,12 @@
 	ErrOverload = errors.New("too many requests")   // 429
 )
 
+// Elsewhere is ErrElse with the node that the worker should report to.
+type Elsewhere struct{ Node string }
+
+func (e Elsewhere) Error() string   { return ErrElse.Error() + ", try " + e.Node }
+func (e Elsewhere) Is(t error) bool { return t == ErrElse }
+
 // Service is what the node offers to HTTP.
 type Service interface {
 	Submit(ctx context.Context, j *wire.Job) (wire.JobStatus, bool, error)
@@ -56,7 +62,9 @@
 	case errors.Is(err, ErrNever):
 		code = http.StatusUnprocessableEntity
 	case errors.Is(err, ErrElse):
-		reply(w, http.StatusMisdirectedRequest, wire.Redirect{})
+		var to Elsewhere
+		errors.As(err, &to)
+		reply(w, http.StatusMisdirectedRequest, wire.Redirect{To: to.Node})
 		return
 	case errors.Is(err, ErrOverload):
 		code = http.StatusTooManyRequests
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -147,3 +147,18 @@
 		}
 	}
 }
+
+// A worker that is sent on is told where to.
+func TestElsewhere(t *testing.T) {
+	b, _ := wire.Marshal(wire.Report{Host: "n-1"})
+	resp, err := http.Post(serve(t, &fake{err: Elsewhere{"b"}})+wire.PathReport, contentType, bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	var to wire.Redirect
+	if err := wire.Unmarshal(body, &to); err != nil || resp.StatusCode != 421 || to.To != "b" {
+		t.Errorf("status %d, %+v, %v", resp.StatusCode, to, err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"dalefront/internal/api"
 	"dalefront/internal/cloud"
 	"dalefront/internal/config"
@@ -51,8 +53,9 @@
 	catalog  *wire.Catalog
 	finals   map[string]wire.JobStatus
 	finalQ   []string
-	known    map[string]struct{} // jobs known to be accepted
-	peerOK   map[string]bool     // whether a peer last said that it reaches the state service
+	known    map[string]struct{}  // jobs known to be accepted
+	peerAt   map[string]time.Time // when a peer last answered
+	sendOn   *rate.Limiter        // workers that are sent on to another node
 }
 
 // New returns a node; Run starts it.
@@ -71,7 +74,8 @@
 		// once, since they could not be told in time.
 		submits: make(chan struct{}, max(8, int(2*d.State.WriteRPS))),
 		lookups: make(chan lookup, maxLookups),
-		finals:  map[string]wire.JobStatus{}, known: map[string]struct{}{}, peerOK: map[string]bool{},
+		finals:  map[string]wire.JobStatus{}, known: map[string]struct{}{}, peerAt: map[string]time.Time{},
+		sendOn: rate.NewLimiter(40, 80),
 	}
 	for _, m := range set.Members {
 		c, err := peer.Dial(m.Addr)
@@ -294,10 +298,10 @@
 func (n *Node) greet(ctx context.Context, label string, p *peer.Client) {
 	for {
 		a, err := p.Hello(ctx, n.hello())
-		n.mu.Lock()
-		n.peerOK[label] = err == nil && a.StateOK
-		n.mu.Unlock()
 		if err == nil {
+			n.mu.Lock()
+			n.peerAt[label] = time.Now()
+			n.mu.Unlock()
 			n.heard(a)
 		}
 		select {
@@ -475,6 +479,9 @@
 		if token, ok := n.mayRenew(r); ok {
 			return wire.ReportAnswer{Token: token, Orders: []wire.Order{}}, nil
 		}
+		if to := n.another(leader); to != "" {
+			return wire.ReportAnswer{}, api.Elsewhere{Node: to}
+		}
 		return wire.ReportAnswer{}, api.ErrNotNow
 	}
 	if a.Status != http.StatusOK {
@@ -483,6 +490,34 @@
 	return a.Answer, nil
 }
 
+// another names a peer that is alive, for a worker whose report the overseer did
+// not take. Left to itself the worker tries the nodes in turn and waits 4 s for
+// each that is silent; behind two such nodes its lease runs out. It bounds how many
+// are sent on, since they come back at once while nobody can act.
+func (n *Node) another(but string) string {
+	if !n.sendOn.Allow() {
+		return ""
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	first, next := "", ""
+	for label, at := range n.peerAt {
+		if label == but || time.Since(at) > 2500*time.Millisecond {
+			continue
+		}
+		if first == "" || label < first {
+			first = label
+		}
+		if label > n.set.Label && (next == "" || label < next) {
+			next = label
+		}
+	}
+	if next == "" {
+		next = first // in a ring, so that those who are sent on meet all
+	}
+	return next
+}
+
 // Healthy implements api.Service: requests can be taken while the state service
 // is in reach and the machine types are known.
 func (n *Node) Healthy() bool {
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -355,18 +355,21 @@
 	kept    Micros              // when the books were last kept
 	ranks   [4]int              // placements by their jobs' rank
 
-	ends     []string
-	forget   []string
-	direct   []Direct
-	commit   *Commit
-	gpus     gpuView
-	ordinary map[string]bool   // types wanted by waiting jobs that may not use spot machines
-	refused  map[string]Micros // type/zone/spot without capacity, until
-	hiring   map[string]int    // machines asked for, by type
-	bwWrite  float64           // GB/s
-	bwRead   float64
-	log      func(msg string, args ...any)
-	listedAt Micros
+	ends   []string
+	forget []string
+	direct []Direct
+	commit *Commit
+	gpus   gpuView
+	// as a pass sees them
+	ranking   []*class          // classes above the lowest priority whose jobs arrive
+	claimants []*job            // jobs that wait within their teams' guarantees
+	ordinary  map[string]bool   // types wanted by waiting jobs that may not use spot machines
+	refused   map[string]Micros // type/zone/spot without capacity, until
+	hiring    map[string]int    // machines asked for, by type
+	bwWrite   float64           // GB/s
+	bwRead    float64
+	log       func(msg string, args ...any)
+	listedAt  Micros
 
 	Stats Stats
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"dalefront/internal/config"
@@ -88,6 +89,9 @@
 			s += 30 // and these wait
 		}
 	}
+	if (m.kind.GPUs > 0 && j.spec.GPUs == 0) || c.contested(j, m) {
+		s += 12 // where it would have to make way before long
+	}
 	if m.slow > 2 {
 		s += 15 * (m.slow - 2) // well beyond wrong estimates
 	}
@@ -97,6 +101,52 @@
 	return s
 }
 
+// contested says whether a class of higher priority uses machines of the type:
+// there a task is likely to be stopped, and its stop keeps the others waiting.
+func (c *Core) contested(j *job, m *machine) bool {
+	for _, cl := range c.ranking {
+		if cl.sample.rank > j.rank && fitsType(&cl.sample.spec, m.kind) {
+			return true
+		}
+	}
+	return false
+}
+
+// view lists, once a pass, the classes by what they may use, and the jobs that
+// wait within their teams' guarantees, one of each class and zone.
+func (c *Core) view(queue []*job) {
+	c.ranking, c.claimants = c.ranking[:0], c.claimants[:0]
+	for _, cl := range c.classes {
+		if cl.sample != nil && cl.sample.rank > 0 && cl.perSecond(c.now) > 0.001 {
+			c.ranking = append(c.ranking, cl)
+		}
+	}
+	for _, j := range queue {
+		if len(c.claimants) == mostClaimants {
+			break
+		}
+		if j.within && j.rank > 0 && !j.suspect() && !slices.ContainsFunc(c.claimants, func(o *job) bool {
+			return o.class == j.class && o.spec.Zone == j.spec.Zone && o.spec.Spot == j.spec.Spot
+		}) {
+			c.claimants = append(c.claimants, j)
+		}
+	}
+}
+
+const mostClaimants = 8
+
+// claimed says whether work of higher priority that waits within its team's
+// guarantee could use the machine right now. Work that is not guaranteed anything
+// would fill it up again as often as it is cleared, and the claimant waits on.
+func (c *Core) claimed(j *job, m *machine) bool {
+	for _, o := range c.claimants {
+		if o.rank > j.rank && allowed(o, m) && room(o, m, 1) {
+			return true
+		}
+	}
+	return false
+}
+
 // findMachine returns the best machine for a task now.
 func (c *Core) findMachine(j *job, zones map[string]int, only string) *machine {
 	var best *machine
@@ -118,7 +168,7 @@
 
 // takesMore says whether a usable machine may take another task of the job.
 func (c *Core) takesMore(j *job, m *machine, zones map[string]int) bool {
-	return room(j, m, 1) && allowed(j, m) && m.n < maxOnMachine && zoneOK(j, zones, m.zone) &&
+	return room(j, m, 1) && allowed(j, m) && m.n < maxOnMachine && zoneOK(j, zones, m.zone) && !c.claimed(j, m) &&
 		(j.spec.GPUs > 0 || m.kind.GPUs == 0 || c.mayBlockGPUs(j, m))
 }
 
@@ -307,6 +357,7 @@
 	c.look()
 	queue := c.queue()
 	c.viewGPUs(queue)
+	c.view(queue)
 	var gangs []*job // without room
 	for _, j := range queue {
 		if now < j.notBefore {
