Let graphics machines that only small tasks keep busy empty and go back

A graphics machine without graphics tasks for as long as an idle one is kept takes no others any more, unless the cloud lately had no ordinary machine, and goes back when empty.

--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -142,7 +142,6 @@
 		}
 	}
 	lag := config.Micro(c.set.Deployment.Cloud.ListLagS)
-	idleMost := config.Micro(*c.set.Operator.IdleReturnS)
 	cancel := config.Micro(c.set.Deployment.Workers.CancelS)
 	hosts := slices.Clone(c.order)
 	for _, m := range hosts {
@@ -205,11 +204,11 @@
 	for _, m := range hosts {
 		// Keeping a machine is worth as much as booting another one would cost,
 		// as long as tasks may be expected for it.
-		idleAfter := min(idleMost, config.Micro(1.3*m.kind.BootS))
-		if idle[m.kind] > soon[m.kind] {
-			idleAfter = min(idleAfter, config.Micro(0.4*m.kind.BootS))
+		since := m.idleSince
+		if m.kind.GPUs > 0 && c.gpus.any {
+			since = m.gpusIdle
 		}
-		if m.returning || !m.confirmed || m.n > 0 || m.reserved != nil || now-m.idleSince < idleAfter {
+		if m.returning || !m.confirmed || m.n > 0 || m.reserved != nil || now-since < c.keep(m.kind, idle[m.kind] <= soon[m.kind]) {
 			continue
 		}
 		if c.wanted(m, need) {
@@ -226,6 +225,36 @@
 	return out
 }
 
+// keep is how long an idle machine of the type is kept, by whether tasks may be
+// expected for it.
+func (c *Core) keep(t *wire.MachineType, expected bool) Micros {
+	boots := 0.4
+	if expected {
+		boots = 1.3
+	}
+	return min(config.Micro(*c.set.Operator.IdleReturnS), config.Micro(boots*t.BootS))
+}
+
+// soldOut says whether the cloud lately had no machine without graphics for the
+// job.
+func (c *Core) soldOut(j *job) bool {
+	const lately = 45 * second // beyond the time for which it isn't asked again
+	for _, t := range c.types {
+		if t.GPUs > 0 || !fitsType(&j.spec, t) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if j.spec.Zone != nil && *j.spec.Zone != z {
+				continue
+			}
+			if until, refused := c.refused[spotKey(t.Name, z, false)]; !refused || c.now > until+lately {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // soon is how many machines of the type the tasks fill that may be expected while
 // another one would boot: the mean and one deviation.
 func (c *Core) soon(t *wire.MachineType) int {
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -299,6 +299,7 @@
 	mem            float64
 	images         map[string]Micros // images believed present, by last use
 	idleSince      Micros
+	gpusIdle       Micros // since when no task with graphics is on it
 	reserved       *job
 	reservedTill   Micros
 	heldAt         Micros // when it was last decided that it is kept
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -233,11 +233,14 @@
 	if !v.any || j.rank > v.rank {
 		return true
 	}
-	free := m.kind.GPUs - m.gpus
-	if m.cpus+j.spec.CPUs+free*v.cpus <= m.kind.CPUs+eps && m.mem+j.spec.MemoryGB+free*v.mem <= m.kind.MemoryGB+eps {
+	if j.rank == v.rank && len(j.class.waits) > 0 {
 		return true
 	}
-	if j.rank == v.rank && len(j.class.waits) > 0 {
+	if m.gpus < eps && c.now-m.gpusIdle > c.keep(m.kind, true) && !c.soldOut(j) {
+		return false // it empties and goes back: cheaper machines can be had
+	}
+	free := m.kind.GPUs - m.gpus
+	if m.cpus+j.spec.CPUs+free*v.cpus <= m.kind.CPUs+eps && m.mem+j.spec.MemoryGB+free*v.mem <= m.kind.MemoryGB+eps {
 		return true
 	}
 	if c.now > j.due-j.estimate() && j.spec.DeadlineS != nil {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -14,7 +14,7 @@
 		t = &wire.MachineType{Name: typ, Zones: []string{zone}} // not in the catalog: no room
 		c.types[typ] = t
 	}
-	m := &machine{slow: 1, host: host, addr: addr, kind: t, zone: zone, spot: spot, born: c.now, idleSince: c.now,
+	m := &machine{slow: 1, host: host, addr: addr, kind: t, zone: zone, spot: spot, born: c.now, idleSince: c.now, gpusIdle: c.now,
 		tasks: map[taskKey][]*placement{}, images: map[string]Micros{}, fetchingImages: map[string]Micros{}, errJobs: map[*job]bool{}}
 	c.machines[host] = m
 	i := sort.Search(len(c.order), func(k int) bool { return c.order[k].host >= host })
@@ -85,6 +85,9 @@
 		m.cpus, m.gpus, m.mem = 0, 0, 0
 		m.idleSince = c.now
 	}
+	if j.spec.GPUs > 0 && m.gpus < eps {
+		m.gpusIdle = c.now
+	}
 	if j.count[p.task]--; j.count[p.task] <= 0 {
 		delete(j.count, p.task)
 		if !j.over() && !j.isDone(p.task) {
@@ -173,7 +176,7 @@
 		})
 	}
 	if !m.confirmed && m.n == 0 {
-		m.idleSince = now
+		m.idleSince, m.gpusIdle = now, now
 	}
 	if !m.confirmed {
 		c.changed = true
