--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -256,7 +256,8 @@
 }
 
 // soon is how many machines of the type the tasks fill that may be expected while
-// another one would boot: the mean and one deviation.
+// another one would boot, beyond those that take the place of tasks which end
+// meanwhile: the mean and one deviation, as tasks come a job at a time.
 func (c *Core) soon(t *wire.MachineType) int {
 	machines := 0.0
 	for _, cl := range c.classes {
@@ -266,12 +267,27 @@
 		}
 		if n := slots(j, t, 0, 0, 0); n > 0 {
 			tasks := cl.perSecond(c.now) * (t.BootS + 10)
-			machines += (tasks + math.Sqrt(tasks)) / float64(n)
+			machines += (max(0, tasks-c.ending(cl, config.Micro(t.BootS))) + math.Sqrt(tasks*max(1, cl.size))) / float64(n)
 		}
 	}
 	return int(math.Ceil(machines))
 }
 
+// ending counts the running tasks of a class that are expected to end within the
+// time.
+func (c *Core) ending(cl *class, t Micros) (n float64) {
+	for _, j := range c.jobs {
+		if j.class == cl {
+			for p := range j.placements {
+				if c.endsWithin(p, t) {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
 // Fleet counts the machines known and those whose workers have confirmed the
 // term.
 func (c *Core) Fleet() (known, up int) {
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -238,7 +238,8 @@
 	ratio    float64 // actual run time over estimate
 	arrivals float64 // decayed count of tasks that arrived
 	at       Micros
-	sample   *job // a recent job, for its shape
+	sample   *job    // a recent job, for its shape
+	size     float64 // tasks of a job, a mean that forgets
 
 	capacity   float64 // CPUs that its jobs have between them
 	capacityAt Micros
@@ -255,6 +256,10 @@
 func (c *class) arrive(now Micros, tasks float64) {
 	c.decay(now)
 	c.arrivals += tasks
+	if c.size == 0 {
+		c.size = tasks
+	}
+	c.size += 0.1 * (tasks - c.size)
 }
 
 func (c *class) decay(now Micros) {
