--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -107,6 +107,7 @@
 	MaxMachines   *int     `hcl:"max_machines,optional"`
 	TermS         *float64 `hcl:"term_s,optional"`
 	CheckpointMBS *float64 `hcl:"checkpoint_mb_per_s,optional"`
+	LeftoverRentS *float64 `hcl:"leftover_rent_s,optional"`
 }
 
 func or[T any](p *T, def T) *T {
@@ -124,6 +125,7 @@
 	o.MaxMachines = or(o.MaxMachines, 1000)
 	o.TermS = or(o.TermS, 2)
 	o.CheckpointMBS = or(o.CheckpointMBS, 100)
+	o.LeftoverRentS = or(o.LeftoverRentS, 600)
 }
 
 func (o *Operator) check() error {
@@ -138,6 +140,7 @@
 		{"max_machines", float64(*o.MaxMachines), 1, 100000},
 		{"term_s", *o.TermS, 0.5, 60},
 		{"checkpoint_mb_per_s", *o.CheckpointMBS, 0.1, 1e6},
+		{"leftover_rent_s", *o.LeftoverRentS, 0, 1e9},
 	} {
 		if !(f.v >= f.lo && f.v <= f.hi) {
 			return fmt.Errorf("%s: must be from %g to %g", f.name, f.lo, f.hi)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -351,7 +351,7 @@
 
 func (n *Node) hello() *peer.Hello {
 	leader, token, _ := n.view()
-	return &peer.Hello{From: n.set.Label, Leader: leader, Token: token, StateOK: n.state.Reachable(3 * time.Second)}
+	return &peer.Hello{From: n.set.Label, Leader: leader, Token: token}
 }
 
 // PeerHello implements peer.Server.
--- a/internal/node/standstill_test.go
+++ b/internal/node/standstill_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"dalefront/internal/sched"
 	"dalefront/wire"
@@ -46,3 +47,27 @@
 		}
 	}
 }
+
+// A worker whose report nobody can take is sent on to a node that is alive: left to
+// try them in turn it may meet two silent ones, and its lease runs out.
+func TestSentPastSilentNodes(t *testing.T) {
+	n := testNode(t, func(http.ResponseWriter, *http.Request) {})
+	n.set.Label = "c"
+	now := time.Now()
+	n.peerAt = map[string]time.Time{"a": now, "b": now, "d": now.Add(-time.Minute), "e": now}
+	if to := n.another("e"); to != "a" {
+		t.Errorf("sent to %q past the silent d and the overseer e", to)
+	}
+	if to := n.another("a"); to != "e" {
+		t.Errorf("sent to %q, not to the next that is alive", to)
+	}
+	sent := 0
+	for i := 0; i < 1000; i++ {
+		if n.another("a") != "" {
+			sent++
+		}
+	}
+	if sent > 500 {
+		t.Errorf("%d of 1000 were sent on at once", sent)
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,10 +25,9 @@
 // Hello tells a peer what this node knows about the term. Peers may believe it
 // only where a late or wrong answer is harmless: a higher token always wins.
 type Hello struct {
-	From    string `msgpack:"f"`
-	Leader  string `msgpack:"l"`
-	Token   uint64 `msgpack:"t"`
-	StateOK bool   `msgpack:"s"`
+	From   string `msgpack:"f"`
+	Leader string `msgpack:"l"`
+	Token  uint64 `msgpack:"t"`
 }
 
 // Relay carries a worker's report to the overseer.
--- a/internal/sched/blame.go
+++ b/internal/sched/blame.go
@@ -1,6 +1,9 @@
 package sched
 
-import "dalefront/internal/config"
+import (
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
 
 // A task that failed speaks against its machine or against its job. A machine is
 // to blame if it fails jobs that do well elsewhere; a job is suspect once it has
@@ -92,7 +95,18 @@
 	return j.spec.Tasks
 }
 
-// mayRent says whether machines may be rented for the job.
+// mayRent says whether machines may be rented for the job. Work of lowest priority
+// for which nothing is aimed at uses what others leave; it is rented for only after
+// so long that nobody else can be expected to leave anything.
 func (c *Core) mayRent(j *job) bool {
-	return !j.suspect() || c.now > j.notBefore+config.Micro(grace)
+	if j.suspect() {
+		return c.now > j.notBefore+config.Micro(grace)
+	}
+	return !j.aimless() || c.now-j.arrival > config.Micro(*c.set.Operator.LeftoverRentS)
+}
+
+// aimless says whether the job has the lowest priority, no deadline and no aim that
+// watches it: it runs in room that nobody else wants.
+func (j *job) aimless() bool {
+	return j.rank == 0 && j.spec.DeadlineS == nil && j.spec.Shape != wire.Service && len(j.class.waits)+len(j.class.finishes) == 0
 }
--- a/internal/sched/fleet_test.go
+++ b/internal/sched/fleet_test.go
@@ -56,3 +56,37 @@
 		t.Errorf("rented %v, want 5 in y, where one is already", in)
 	}
 }
+
+// Idle-time work of a guest's kept hundreds of machines rented that nobody needed,
+// graphics machines among them: it is no reason to rent, until it has waited for
+// long, and keeps no graphics machine from going back.
+func TestLeftovers(t *testing.T) {
+	b := newBed(t, config.Team{Name: "guest"})
+	b.Machines(nil, b.now)
+	b.AddJob(spec("j-1", "guest", wire.Low, 50, 1), b.now, b.now)
+	b.now += 10 * second
+	if h := b.Hires(b.now); len(h) > 0 {
+		t.Errorf("rented %v", h)
+	}
+	for _, m := range [][2]string{{"n-1", "s"}, {"n-2", "g"}} {
+		b.report(m[0], m[1], "x", 1)
+	}
+	gpu := spec("j-2", "guest", wire.Low, 1, 1)
+	gpu.GPUs = 1
+	b.AddJob(gpu, b.now, b.now) // somebody uses graphics
+	b.schedule()
+	if b.machines["n-1"].n != 8 {
+		t.Errorf("%d tasks use what is left of an ordinary machine", b.machines["n-1"].n)
+	}
+	b.markDone(b.jobs["j-2"], 0)
+	b.Ended("j-2", wire.JobDone, b.now, b.now)
+	b.machines["n-2"].each(func(p *placement) { b.free(p) })
+	b.schedule()
+	if n := b.machines["n-2"].n; n > 0 {
+		t.Errorf("%d tasks keep a graphics machine", n)
+	}
+	b.now += 600 * second
+	if h := b.Hires(b.now); len(h) == 0 {
+		t.Error("work that nobody leaves anything for starves")
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -236,6 +236,9 @@
 	if j.rank == v.rank && len(j.class.waits) > 0 {
 		return true
 	}
+	if m.gpus < eps && j.aimless() {
+		return false // nothing would ever let the dearest machines go
+	}
 	if m.gpus < eps && c.now-m.gpusIdle > c.keep(m.kind, true) && !c.soldOut(j) {
 		return false // it empties and goes back: cheaper machines can be had
 	}
