Let what an overseer observed outlive it

Class ratios, arrivals, sizes and the save bandwidth are stored every 20 s (one change) and taken over.

--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -33,12 +33,14 @@
 	busyProgress bool
 	busyTidy     bool
 	busyEnds     bool
+	busyLearned  bool
 	busyCloud    bool
 	ends         []string // jobs whose end is to be stored
 	tidy         []string // keys to delete
 	lastCloud    int64
 	lastLog      int64
 	lastListed   int64
+	lastLearned  int64
 	chunks       map[string]int // progress chunks stored per job
 
 	revision uint64 // where the watch begins
@@ -257,6 +259,14 @@
 		ledger[strings.TrimPrefix(e.Key, ledgerPrefix)] = entry
 	}
 	core.Load(ledger)
+	if e, found, err := n.state.Get(r.ctx, learnedKey); err != nil {
+		return err
+	} else if found {
+		var l sched.Learned
+		if wire.Unmarshal(e.Value, &l) == nil {
+			core.Remember(l)
+		}
+	}
 	hires, _, err := n.state.List(r.ctx, hirePrefix)
 	if err != nil {
 		return err
@@ -485,6 +495,10 @@
 		r.busyTidy = true
 		go r.deleteKeys(keys)
 	}
+	if !r.busyLearned && reachable && now-r.lastLearned >= learnEvery {
+		r.busyLearned, r.lastLearned = true, now
+		go r.storeLearned(r.core.Learned(now))
+	}
 	blind := r.core.Blind(now)
 	if blind && len(n.peers) > 0 {
 		n.log.Info("most workers are silent: giving the term up", "token", r.token)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -177,6 +177,16 @@
 	})
 }
 
+// learnEvery is how often what was observed is stored, in microseconds: one change
+// in twenty seconds.
+const learnEvery = 20_000_000
+
+func (r *reign) storeLearned(l sched.Learned) {
+	n := r.n
+	_, _ = n.state.Multi(r.ctx, wire.Txn{If: []wire.Cond{r.termCond()}, Then: []wire.Change{{Put: learnedKey, Value: l}}})
+	n.post(func() { r.busyLearned = false })
+}
+
 func (r *reign) deleteKeys(keys []string) {
 	n := r.n
 	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -18,6 +18,7 @@
 const (
 	termKey      = "term"
 	catalogKey   = "catalog"
+	learnedKey   = "learned"
 	queuePrefix  = "q/"
 	jobPrefix    = "q/a/"
 	endPrefix    = "q/e/"
--- /dev/null
+++ b/internal/sched/learned.go
@@ -0,0 +1,64 @@
+package sched
+
+import "sort"
+
+// Learned is what an overseer has observed and its successor would otherwise have
+// to observe anew. It decides nothing by itself: a late or missing copy only costs
+// time.
+type Learned struct {
+	At      Micros         `msgpack:"A"` // time of day
+	Write   float64        `msgpack:"W"` // bandwidth of saves, GB/s
+	Classes []LearnedClass `msgpack:"C"`
+}
+
+// LearnedClass is what was observed of a class of jobs.
+type LearnedClass struct {
+	Name     string  `msgpack:"N"`
+	Ratio    float64 `msgpack:"R"`
+	Arrivals float64 `msgpack:"A"`
+	Size     float64 `msgpack:"S"`
+}
+
+// mostLearned bounds what is stored, well below any value limit: the classes that
+// most arrives of.
+const mostLearned = 64
+
+// Learned sums up what was observed.
+func (c *Core) Learned(now Micros) Learned {
+	l := Learned{At: now, Write: c.bwWrite}
+	for _, cl := range c.classes {
+		cl.decay(now)
+		if len(cl.name) <= 64 {
+			l.Classes = append(l.Classes, LearnedClass{cl.name, cl.ratio, cl.arrivals, cl.size})
+		}
+	}
+	sort.Slice(l.Classes, func(a, b int) bool {
+		x, y := &l.Classes[a], &l.Classes[b]
+		if x.Arrivals != y.Arrivals {
+			return x.Arrivals > y.Arrivals
+		}
+		return x.Name < y.Name
+	})
+	l.Classes = l.Classes[:min(len(l.Classes), mostLearned)]
+	return l
+}
+
+// Remember takes what the last overseer observed, after the jobs. Times of day of
+// different nodes differ a little, which does not matter here.
+func (c *Core) Remember(l Learned) {
+	if l.Write > 0 {
+		c.bwWrite = l.Write
+	}
+	for _, x := range l.Classes {
+		if x.Ratio <= 0 || x.Arrivals < 0 || x.Size < 0 {
+			continue
+		}
+		cl := c.classOf(x.Name)
+		cl.ratio = x.Ratio
+		old := class{arrivals: x.Arrivals, at: min(l.At, c.now)}
+		old.decay(c.now)
+		if old.arrivals > cl.arrivals {
+			cl.arrivals, cl.at, cl.size = old.arrivals, c.now, x.Size
+		}
+	}
+}
--- a/internal/sched/ledger_test.go
+++ b/internal/sched/ledger_test.go
@@ -151,3 +151,28 @@
 		t.Error("the task was not placed again")
 	}
 }
+
+// A takeover used to forget how long tasks really run and how many arrive: owners'
+// estimates counted again, and machines that were about to be needed went back.
+func TestLearnedOutlivesTheOverseer(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.AddJob(spec("j-1", "a", wire.Normal, 40, 1), b.now, b.now)
+	cl := b.jobs["j-1"].class
+	cl.ratio, b.bwWrite = 1.7, 0.3
+	l := b.Learned(b.now)
+
+	next := newBed(t, config.Team{Name: "a"})
+	next.now = b.now + rateMemory
+	next.Remember(l)
+	got := next.classOf(cl.name)
+	if got.ratio != 1.7 || next.bwWrite != 0.3 || got.size != 40 {
+		t.Errorf("the next overseer knows %+v, bandwidth %v", got, next.bwWrite)
+	}
+	if got.arrivals < 14 || got.arrivals > 15 { // 40 / e
+		t.Errorf("%v arrivals are remembered after the time in which they fade to a third", got.arrivals)
+	}
+	next.Remember(Learned{Classes: []LearnedClass{{Name: cl.name}}})
+	if got.ratio != 1.7 {
+		t.Error("nonsense was taken for an observation")
+	}
+}
