Keep graphics machines that have just served what they are for

Found by reading: a graphics machine counted as idle from its last task with graphics, so one that had just run a task entitled to it without graphics was returned as soon as it was empty. Test with both cases.

--- a/internal/sched/fleet_test.go
+++ b/internal/sched/fleet_test.go
@@ -90,3 +90,39 @@
 		t.Error("work that nobody leaves anything for starves")
 	}
 }
+
+// A graphics machine that small tasks keep busy empties and goes back while
+// ordinary machines can be had, but not one that has just served what it is for.
+func TestGraphicsMachinesEmpty(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.report("n-1", "g", "x", 1)
+	gpu, sweep := spec("j-1", "a", wire.Normal, 1, 2), spec("j-2", "a", wire.Normal, 1, 12)
+	gpu.GPUs = 1
+	b.AddJob(gpu, b.now, b.now)
+	b.AddJob(sweep, b.now, b.now)
+	b.AddJob(spec("j-3", "a", wire.Low, 50, 1), b.now, b.now)
+	b.jobs["j-2"].class.waits = []Micros{30 * second}
+	m := b.machines["n-1"]
+	b.look()
+	b.viewGPUs([]*job{b.jobs["j-1"]})
+	small := b.jobs["j-3"]
+	d := 60.0
+	small.spec.DeadlineS, small.due = &d, b.now+500*second
+	end := func(id string) {
+		p := b.place(b.jobs[id], 0, m, 9)
+		b.now += 100 * second
+		b.free(p)
+	}
+	end("j-2")
+	if !b.mayBlockGPUs(small, m) || b.now-m.gpusIdle > 0 {
+		t.Error("a machine that has just served what it is for takes nothing else")
+	}
+	end("j-3")
+	if b.mayBlockGPUs(small, m) {
+		t.Error("small tasks keep a graphics machine whose GPUs have idled")
+	}
+	b.refused[spotKey("s", "x", false)], b.refused[spotKey("s", "y", false)] = b.now, b.now
+	if !b.mayBlockGPUs(small, m) {
+		t.Error("a graphics machine stands empty though ordinary ones are sold out")
+	}
+}
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -304,7 +304,7 @@
 	mem            float64
 	images         map[string]Micros // images believed present, by last use
 	idleSince      Micros
-	gpusIdle       Micros // since when no task with graphics is on it
+	gpusIdle       Micros // since when no task is on it that a graphics machine is kept for
 	reserved       *job
 	reservedTill   Micros
 	heldAt         Micros // when it was last decided that it is kept
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -222,6 +222,14 @@
 	c.gpus = v
 }
 
+// deserves says whether a graphics machine is kept for tasks of the job too: they
+// use graphics, rank higher than those that do, or have an aim that watches their
+// start.
+func (c *Core) deserves(j *job) bool {
+	v := &c.gpus
+	return !v.any || j.spec.GPUs > 0 || j.rank > v.rank || (j.rank == v.rank && len(j.class.waits) > 0)
+}
+
 // mayBlockGPUs says whether a task without graphics may go to a graphics
 // machine. It may as long as it leaves what the free GPUs' own tasks need beside
 // them. Beyond that it may if it ranks higher or an aim watches its start, or if
@@ -229,13 +237,10 @@
 // stay. Otherwise small tasks fill the processors of the graphics machines and
 // their GPUs, the dearest part, stand idle.
 func (c *Core) mayBlockGPUs(j *job, m *machine) bool {
-	v := &c.gpus
-	if !v.any || j.rank > v.rank {
-		return true
-	}
-	if j.rank == v.rank && len(j.class.waits) > 0 {
+	if c.deserves(j) {
 		return true
 	}
+	v := &c.gpus
 	if m.gpus < eps && j.aimless() {
 		return false // nothing would ever let the dearest machines go
 	}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -85,7 +85,7 @@
 		m.cpus, m.gpus, m.mem = 0, 0, 0
 		m.idleSince = c.now
 	}
-	if j.spec.GPUs > 0 && m.gpus < eps {
+	if c.deserves(j) {
 		m.gpusIdle = c.now
 	}
 	if j.count[p.task]--; j.count[p.task] <= 0 {
