Test real nodes on ports of their own, and after the overseer's grant has come

Two flaky verdicts under load: ports were taken from those given to outgoing connections, so a node could fail to listen, unnoticed; and the test's outage could begin before the overseer's first greeting had brought its peers a grant.

--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -18,14 +19,27 @@
 	"dalefront/wire"
 )
 
+var given = map[string]bool{} // by freeAddr
+
+// freeAddr finds a port that nobody listens on, below those that the system gives
+// to outgoing connections: one of these may be taken before the node listens.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for i := 0; i < 1000; i++ {
+		addr := fmt.Sprint("127.0.0.1:", 12000+rand.IntN(18000))
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		if given[addr] {
+			continue
+		}
+		given[addr] = true
+		return addr
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // cluster is real nodes on loopback against the played services.
@@ -69,7 +83,12 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		c.stop = append(c.stop, cancel)
 		done := make(chan struct{})
-		go func() { _ = n.Run(ctx); close(done) }()
+		go func() {
+			defer close(done)
+			if err := n.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		}()
 		t.Cleanup(func() { cancel(); <-done })
 	}
 	return c
@@ -167,6 +186,13 @@
 	}
 	c.until("both tasks run", func() bool { c.report(2); return len(c.tasks) == 2 })
 
+	// Each node has reached the overseer, and its next greetings, one a second,
+	// bring its grant.
+	for i := range c.addrs {
+		c.until("a report is relayed", func() bool { return c.report(i) == 200 })
+	}
+	time.Sleep(2500 * time.Millisecond)
+
 	c.svc.SetDown(true)
 	code, h := c.ask(0, http.MethodPost, wire.PathJobs, c.submission("j-2", 1), nil)
 	if code != 503 || h.Get("Retry-After") == "" {
