Tell dead, hung and cut-off machines apart before giving them back

Change: internal/domain, a detector that judges each silent machine from the silence of workers and controllers by zone and from the cloud's list. What waiting costs is weighed against what returning costs, from the tasks' run times and saves, boots, fetches and earlier silences. Nothing is hired in a zone that is cut off; replacements are hired only for work that waits. A new overseer asks its peers when they heard which worker. Launches that never went out to a machine that fell silent are placed anew. An overseer that has lost the state service too keeps its term.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -14,6 +14,7 @@
 func (r *reign) fleet(blind bool) {
 	n := r.n
 	now := n.now()
+	r.core.Survey(now, n.controllers())
 	returns := r.core.Returns(now, blind)
 	var hires []wire.Hire
 	if n.state.Reachable(3 * time.Second) {
--- /dev/null
+++ b/internal/node/heard.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dalefront/internal/config"
+	"dalefront/internal/domain"
+	"dalefront/internal/peer"
+	"dalefront/internal/sched"
+)
+
+// heardFor is how long it is remembered that a worker was heard.
+const heardFor = 10 * time.Minute
+
+// hears notes that a worker has reported to this node. What each node has heard is
+// all that is left of it when an overseer ends.
+func (n *Node) hears(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, known := n.heardAt[host]; !known && len(n.heardAt) >= peer.MostHeard {
+		for h, at := range n.heardAt {
+			if time.Since(at) > heardFor {
+				delete(n.heardAt, h)
+			}
+		}
+		if len(n.heardAt) >= peer.MostHeard {
+			return
+		}
+	}
+	n.heardAt[host] = time.Now()
+}
+
+// heardWorkers says which workers reported to this node, and how long ago.
+func (n *Node) heardWorkers() []peer.Heard {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make([]peer.Heard, 0, len(n.heardAt))
+	for h, at := range n.heardAt {
+		if ago := time.Since(at); ago <= heardFor {
+			out = append(out, peer.Heard{Host: h, Ago: ago.Microseconds()})
+		}
+	}
+	return out
+}
+
+// tell brings the new overseer's core what this node and its peers have heard. Peers
+// that don't answer at once are left out: it is evidence, and proves nothing.
+func (r *reign) tell(core *sched.Core) {
+	n := r.n
+	var mu sync.Mutex
+	tell := func(hs []peer.Heard) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, h := range hs {
+			core.Told(h.Host, n.now()-max(0, h.Ago))
+		}
+	}
+	tell(n.heardWorkers())
+	var all sync.WaitGroup
+	for _, p := range n.peers {
+		all.Go(func() {
+			ctx, cancel := context.WithTimeout(r.ctx, 400*time.Millisecond)
+			defer cancel()
+			h := n.hello()
+			h.Ask = true
+			if a, err := p.Hello(ctx, h); err == nil {
+				tell(a.Heard)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// controllers is what this node knows of the others, for the detector.
+func (n *Node) controllers() []domain.Controller {
+	out := make([]domain.Controller, 0, len(n.set.Members))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range n.set.Members {
+		c := domain.Controller{Zone: m.Zone}
+		if at, ok := n.peerAt[m.Label]; ok {
+			c.Heard = max(1, n.now()-config.Micros(time.Since(at)/time.Microsecond))
+		}
+		out = append(out, c)
+	}
+	return out
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	finalQ   []string
 	known    map[string]struct{}  // jobs known to be accepted
 	peerAt   map[string]time.Time // when a peer last answered
+	heardAt  map[string]time.Time // when a worker last reported to this node
 	sendOn   *rate.Limiter        // workers that are sent on to another node
 }
 
@@ -74,7 +75,7 @@
 		// once, since they could not be told in time.
 		submits: make(chan struct{}, max(8, int(2*d.State.WriteRPS))),
 		lookups: make(chan lookup, maxLookups),
-		finals:  map[string]wire.JobStatus{}, known: map[string]struct{}{}, peerAt: map[string]time.Time{},
+		finals:  map[string]wire.JobStatus{}, known: map[string]struct{}{}, peerAt: map[string]time.Time{}, heardAt: map[string]time.Time{},
 		sendOn: rate.NewLimiter(40, 80),
 	}
 	for _, m := range set.Members {
@@ -321,7 +322,9 @@
 	at    time.Time
 }
 
-const grantTime = 2 * time.Minute
+// grantTime outlasts the cuts that a zone's work is worth waiting for; the overseer
+// outside decides how long that is and returns the machines when it is over.
+const grantTime = 10 * time.Minute
 
 // heard takes a peer's hello.
 func (n *Node) heard(h *peer.Hello) {
@@ -357,7 +360,11 @@
 // PeerHello implements peer.Server.
 func (n *Node) PeerHello(_ context.Context, h *peer.Hello) (*peer.Hello, error) {
 	n.heard(h)
-	return n.hello(), nil
+	a := n.hello()
+	if h.Ask {
+		a.Heard = n.heardWorkers()
+	}
+	return a, nil
 }
 
 // PeerRelay implements peer.Server.
@@ -463,6 +470,7 @@
 // Report implements api.Service: the overseer answers itself, other nodes relay
 // to it, so that no worker has to find it.
 func (n *Node) Report(ctx context.Context, r *wire.Report) (wire.ReportAnswer, error) {
+	n.hears(r.Host)
 	if a, ok := n.report(ctx, r); ok {
 		return a, nil
 	}
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -259,6 +259,7 @@
 		ledger[strings.TrimPrefix(e.Key, ledgerPrefix)] = entry
 	}
 	core.Load(ledger)
+	r.tell(core)
 	if e, found, err := n.state.Get(r.ctx, learnedKey); err != nil {
 		return err
 	} else if found {
@@ -500,7 +501,9 @@
 		go r.storeLearned(r.core.Learned(now))
 	}
 	blind := r.core.Blind(now)
-	if blind && len(n.peers) > 0 {
+	// Without the state service nobody could take the term, and this node's word
+	// still renews leases.
+	if blind && len(n.peers) > 0 && reachable {
 		n.log.Info("most workers are silent: giving the term up", "token", r.token)
 		n.mu.Lock()
 		n.gaveUp = r.token
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,11 +25,23 @@
 // Hello tells a peer what this node knows about the term. Peers may believe it
 // only where a late or wrong answer is harmless: a higher token always wins.
 type Hello struct {
-	From   string `msgpack:"f"`
-	Leader string `msgpack:"l"`
-	Token  uint64 `msgpack:"t"`
+	From   string  `msgpack:"f"`
+	Leader string  `msgpack:"l"`
+	Token  uint64  `msgpack:"t"`
+	Ask    bool    `msgpack:"a,omitempty"` // for Heard
+	Heard  []Heard `msgpack:"h,omitempty"`
 }
 
+// Heard says for how many microseconds a controller has not heard a worker.
+type Heard struct {
+	Host string `msgpack:"h"`
+	Ago  int64  `msgpack:"a"`
+}
+
+// MostHeard bounds the workers that one answer names: with names of 40 bytes it
+// stays below the limit of a message.
+const MostHeard = 16_384
+
 // Relay carries a worker's report to the overseer.
 type Relay struct {
 	Report wire.Report `msgpack:"r"`
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -12,6 +12,7 @@
 // Machines takes the cloud's list, which lags and may be older than the last.
 func (c *Core) Machines(list []wire.Machine, now Micros) {
 	c.now = now
+	lag := config.Micro(c.set.Deployment.Cloud.ListLagS)
 	for _, l := range list {
 		if _, gone := c.gone[l.ID]; gone {
 			continue // the list lags behind the return
@@ -27,7 +28,17 @@
 			m.born = min(m.born, now-config.Micro(l.AgeS))
 		}
 		m.listed = now
-		m.failed = m.failed || l.State == wire.HostFailed
+		if l.State == wire.HostRunning {
+			// The moment that the list describes is the machine's age after its
+			// birth, which may itself have been learned late, from a list.
+			m.running = max(m.running, min(m.born+config.Micro(l.AgeS), now)-lag)
+		}
+		if l.State == wire.HostFailed && !m.failed {
+			m.failed = true
+			if m.up {
+				c.domains.Died()
+			}
+		}
 	}
 	c.listedAt = now
 }
@@ -117,17 +128,7 @@
 // on this side, and another controller should take over.
 func (c *Core) Blind(now Micros) bool {
 	c.now = now
-	up, silent := 0, 0
-	limit := max(5*second, c.lease/2)
-	for _, m := range c.order {
-		if m.up && (m.confirmed || m.lost) && !m.returning && !m.failed && now-m.lastHello < 4*c.lease {
-			up++
-			if now-m.lastHello > limit {
-				silent++
-			}
-		}
-	}
-	return silent >= 3 && silent*10 >= up*6
+	return c.domains.IsBlind()
 }
 
 // Returns lists machines to give back now.
@@ -144,6 +145,7 @@
 	lag := config.Micro(c.set.Deployment.Cloud.ListLagS)
 	cancel := config.Micro(c.set.Deployment.Workers.CancelS)
 	hosts := slices.Clone(c.order)
+	room := &elsewhere{c: c}
 	for _, m := range hosts {
 		if m.returning {
 			continue
@@ -163,14 +165,18 @@
 		case m.failed:
 			back(m, "failed")
 		case blind:
-		case m.lost:
-			back(m, "lease ran out")
 		case m.up && m.listed > 0 && c.listedAt-m.listed > 0 && now-m.born > 4*lag+10*second && quiet > 4*second:
 			// Listed before and no longer: taken or dead; the return proves it.
 			back(m, "no longer listed")
+		case m.lost:
+			if why, ok := c.giveUp(m, room); ok {
+				back(m, "silent beyond its lease: "+why)
+			}
 		case m.up && !m.confirmed && quiet > c.lease+6*second:
 			// Never confirmed this term: time proves nothing about its lease.
-			back(m, "silent since the term began")
+			if why, ok := c.giveUp(m, room); ok {
+				back(m, "silent since the term began: "+why)
+			}
 		case !m.up && now-m.born > 3*boot+40*second && quiet > c.lease:
 			back(m, "never came up")
 		case m.bad && m.n == 0:
@@ -458,11 +464,12 @@
 		spot           bool
 		cpus, gpus, me float64
 		fresh          bool
+		away           bool // silent, and not expected back before another would be up
 	}
 	total := 0
 	var bins []*bin
 	for _, m := range c.order {
-		if m.failed || m.returning || m.lost {
+		if m.failed || m.returning {
 			continue
 		}
 		total++
@@ -473,7 +480,7 @@
 		if overdue {
 			continue // don't count on it
 		}
-		b := &bin{kind: m.kind, zone: m.zone, spot: m.spot, cpus: m.cpus, gpus: m.gpus, me: m.mem}
+		b := &bin{kind: m.kind, zone: m.zone, spot: m.spot, cpus: m.cpus, gpus: m.gpus, me: m.mem, away: c.away(m)}
 		m.each(func(p *placement) {
 			if c.endsWithin(p, config.Micro(0.8*m.kind.BootS)) && p.job.spec.GPUs > 0 {
 				// Free again before another machine would be up.
@@ -507,6 +514,7 @@
 		}
 		need = append(need, demand{j, min(n, 2000)})
 	}
+	waiting := len(need) // what follows is room kept ready: what is away will do for it
 	need = append(need, c.spares(now)...)
 	if short := c.reserve(); short > 0 {
 		for _, b := range bins {
@@ -532,12 +540,12 @@
 	if least := c.smallest(); least > 0 {
 		atOnce = min(perHire, max(perKind, int(wanted/least/16)))
 	}
-	for _, d := range need {
+	for i, d := range need {
 		left := d.slots
 		j := d.job
 		only := ""
 		fill := func(b *bin) {
-			if left == 0 || (only != "" && b.zone != only) || (b.spot && !j.spec.Spot) || !fitsType(&j.spec, b.kind) || (j.spec.Zone != nil && *j.spec.Zone != b.zone) {
+			if left == 0 || (b.away && i < waiting) || (only != "" && b.zone != only) || (b.spot && !j.spec.Spot) || !fitsType(&j.spec, b.kind) || (j.spec.Zone != nil && *j.spec.Zone != b.zone) {
 				return
 			}
 			if b.kind.GPUs > 0 && j.spec.GPUs == 0 && b.fresh {
@@ -554,7 +562,7 @@
 			// for it, now or soon, gets what is still missing.
 			in := map[string]int{}
 			for _, b := range bins {
-				if (!b.spot || j.spec.Spot) && fitsType(&j.spec, b.kind) && !(b.kind.GPUs > 0 && j.spec.GPUs == 0 && b.fresh) {
+				if !b.away && (!b.spot || j.spec.Spot) && fitsType(&j.spec, b.kind) && !(b.kind.GPUs > 0 && j.spec.GPUs == 0 && b.fresh) {
 					in[b.zone] += min(left, slots(j, b.kind, b.cpus, b.gpus, b.me))
 				}
 			}
@@ -703,8 +711,8 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if (j.spec.Zone != nil && *j.spec.Zone != z) || (only != "" && z != only) {
-				continue
+			if (j.spec.Zone != nil && *j.spec.Zone != z) || (only != "" && z != only) || c.domains.IsCut(z) {
+				continue // what is rented in a zone that is cut off can't be reached
 			}
 			for _, s := range []bool{true, false} {
 				if (s && !j.spec.Spot) || c.now <= c.refused[spotKey(n, z, s)] || rate(t, s) <= 0 {
--- a/internal/sched/learned.go
+++ b/internal/sched/learned.go
@@ -1,6 +1,10 @@
 package sched
 
-import "sort"
+import (
+	"sort"
+
+	"dalefront/internal/domain"
+)
 
 // Learned is what an overseer has observed and its successor would otherwise have
 // to observe anew. It decides nothing by itself: a late or missing copy only costs
@@ -9,6 +13,7 @@
 	At      Micros         `msgpack:"A"` // time of day
 	Write   float64        `msgpack:"W"` // bandwidth of saves, GB/s
 	Classes []LearnedClass `msgpack:"C"`
+	Silence domain.Memory  `msgpack:"S"` // how past silences of machines and zones ended
 }
 
 // LearnedClass is what was observed of a class of jobs.
@@ -25,7 +30,7 @@
 
 // Learned sums up what was observed.
 func (c *Core) Learned(now Micros) Learned {
-	l := Learned{At: now, Write: c.bwWrite}
+	l := Learned{At: now, Write: c.bwWrite, Silence: c.domains.Memory()}
 	for _, cl := range c.classes {
 		cl.decay(now)
 		if len(cl.name) <= 64 {
@@ -49,6 +54,7 @@
 	if l.Write > 0 {
 		c.bwWrite = l.Write
 	}
+	c.domains.Remember(l.Silence)
 	for _, x := range l.Classes {
 		if x.Ratio <= 0 || x.Arrivals < 0 || x.Size < 0 {
 			continue
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"dalefront/internal/config"
+	"dalefront/internal/domain"
 	"dalefront/wire"
 )
 
@@ -47,6 +48,7 @@
 	stored  bool // the write-ahead record is durable
 	loaded  bool // from a record of an earlier term: never launched again
 	seen    bool // a report showed it
+	sent    bool // its launch went with an answer, which may have arrived
 	state   string
 	placed  Micros
 	running Micros // when it was first seen running, 0 before
@@ -288,6 +290,9 @@
 	session   uint64
 	seq       uint64
 	lastHello Micros // when the newest report came
+	told      Micros // when another controller last heard it, 0 if none said so
+	running   Micros // the latest moment of which a list shows it running
+	verdict   domain.Verdict
 	pushed    Micros // when the token was last sent straight to it
 	recallAt  Micros // when the cloud takes it, 0 if unknown
 	returning bool
@@ -376,6 +381,9 @@
 	bwRead    float64
 	log       func(msg string, args ...any)
 	listedAt  Micros
+	domains   *domain.Detector
+	seen      []domain.Machine  // of the last survey
+	told      map[string]Micros // what other controllers heard of machines not yet known here
 
 	Stats Stats
 }
@@ -404,7 +412,10 @@
 		bwWrite:    *set.Operator.CheckpointMBS / 1000,
 		bwRead:     *set.Operator.CheckpointMBS / 1000,
 		log:        log,
+		told:       map[string]Micros{},
 	}
+	c.domains = domain.New(domain.Params{Zone: set.Zone, Began: now, Report: config.Micro(set.Deployment.Workers.ReportS),
+		Lease: c.lease, ListLag: config.Micro(set.Deployment.Cloud.ListLagS)})
 	for _, t := range set.Deployment.Teams {
 		c.teams[t.Name] = &team{Team: t}
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -435,7 +435,7 @@
 
 // tend looks after machines and tasks as time passes.
 func (c *Core) tend() {
-	expiry := c.expiry()
+	expiry, silence := c.expiry(), c.silence()
 	pushes := 0
 	for _, m := range c.order {
 		if m.up && !m.confirmed && !m.lost && !m.returning && m.addr != "" && m.session > 0 && pushes < 16 &&
@@ -457,7 +457,10 @@
 			// and its tasks are freed when that is confirmed.
 			m.lost, m.confirmed = true, false
 			c.Stats.LeasesLost++
-			c.log("lease ran out", "host", m.host, "tasks", m.n)
+			c.log("silent beyond its lease", "host", m.host, "zone", m.zone, "tasks", m.n, "zone_cut", c.domains.IsCut(m.zone))
+		}
+		if m.n > 0 && c.now-m.lastHello > silence {
+			c.unsent(m)
 		}
 		if m.recallAt > 0 && m.confirmed {
 			c.drain(m)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -16,6 +16,8 @@
 	}
 	m := &machine{slow: 1, host: host, addr: addr, kind: t, zone: zone, spot: spot, born: c.now, idleSince: c.now, gpusIdle: c.now,
 		tasks: map[taskKey][]*placement{}, images: map[string]Micros{}, fetchingImages: map[string]Micros{}, errJobs: map[*job]bool{}}
+	m.told = c.told[host]
+	delete(c.told, host)
 	c.machines[host] = m
 	i := sort.Search(len(c.order), func(k int) bool { return c.order[k].host >= host })
 	c.order = slices.Insert(c.order, i, m)
@@ -163,6 +165,9 @@
 		}
 		return a
 	}
+	if m.lastHello > 0 && !c.domains.IsCut(m.zone) && c.learns() {
+		c.domains.Resumed(now, now-m.lastHello)
+	}
 	m.addr, m.up, m.lost = r.Addr, true, false
 	newSession := r.Session > m.session
 	if newSession {
@@ -335,6 +340,7 @@
 	const most = 400 // keeps the answer within the body limit
 	m.each(func(p *placement) {
 		if p.stored && !p.seen && !p.stop && !p.loaded && len(a.Orders) < most {
+			p.sent = true
 			a.Orders = append(a.Orders, wire.Order{Op: wire.Launch, Task: wire.TaskName(p.job.id, p.task), Attempt: p.attempt})
 		}
 	})
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -267,6 +267,7 @@
 	if b.machines["n-1"].n == 0 {
 		gone = "n-2"
 	}
+	b.report(gone, "s", "x", 1) // the launch goes with the answer
 	other := map[string]string{"n-1": "n-2", "n-2": "n-1"}[gone]
 	for i := 0; i < 9; i++ { // silent, but its lease may run
 		b.now += second
@@ -493,6 +494,7 @@
 	b.now += gap
 	b.Slept(gap, b.now)
 	b.tend()
+	b.Survey(b.now, nil)
 	if b.Blind(b.now) || len(b.Returns(b.now, false)) > 0 || b.Stats.LeasesLost > 0 {
 		t.Error("machines were given up for the controller's own absence")
 	}
--- /dev/null
+++ b/internal/sched/silence.go
@@ -0,0 +1,247 @@
+package sched
+
+import (
+	"fmt"
+	"math"
+
+	"dalefront/internal/config"
+	"dalefront/internal/domain"
+)
+
+// Told takes when another controller last heard a machine. It comes with the
+// hellos at a takeover: the last overseer's knowledge is gone, its peers' is not.
+// It is evidence for the detector alone and proves nothing.
+func (c *Core) Told(host string, at Micros) {
+	at = min(at, c.now)
+	if m := c.machines[host]; m != nil {
+		m.told = max(m.told, at)
+	} else if len(c.told) < mostTold {
+		c.told[host] = max(c.told[host], at)
+	}
+}
+
+const mostTold = 100_000
+
+// silence is how long a machine has to be unheard to count as silent.
+func (c *Core) silence() Micros { return config.Micro(c.set.Deployment.Workers.ReportS)*5/4 + 6*second }
+
+// observed is what the detector is told of a machine. Another controller may know
+// when it was last heard before its first report in this term.
+func (c *Core) observed(m *machine) domain.Machine {
+	return domain.Machine{Zone: m.zone, Mine: m.confirmed || m.lost, Heard: max(m.lastHello, m.told), Running: m.running, Failed: m.failed}
+}
+
+// Survey lets the detector look at the machines and the other controllers.
+func (c *Core) Survey(now Micros, controllers []domain.Controller) {
+	c.now = now
+	c.seen = c.seen[:0]
+	for _, m := range c.order {
+		if m.up && !m.returning {
+			c.seen = append(c.seen, c.observed(m))
+		}
+	}
+	for _, x := range c.domains.Survey(now, c.seen, controllers) {
+		if x.Cut {
+			c.log("zone cut off", "zone", x.Zone, "silent_us", now-x.Since, "evidence", x.Evidence, "leases_renewed_inside", x.Renewing)
+		} else {
+			c.log("zone back", "zone", x.Zone, "after_us", x.Lasted, "evidence", x.Evidence)
+		}
+	}
+	for _, m := range c.order {
+		if !m.up || m.returning {
+			continue
+		}
+		v := c.domains.Judge(now, c.observed(m)).Verdict
+		if v != m.verdict && (v == domain.Hung || v == domain.Dead) {
+			c.log("silent machine", "host", m.host, "zone", m.zone, "verdict", v.String(), "silent_us", now-m.lastHello, "tasks", m.n)
+		}
+		m.verdict = v
+	}
+}
+
+// Verdicts counts the machines by what the detector last said of them.
+func (c *Core) Verdicts() (n [domain.Blind + 1]int) {
+	for _, m := range c.order {
+		n[m.verdict]++
+	}
+	return n
+}
+
+// away says whether a machine can't be counted on for work that waits: it is silent
+// and not expected back before another one would be up.
+func (c *Core) away(m *machine) bool {
+	if !m.up || m.verdict == domain.Serving {
+		return m.lost
+	}
+	f := c.domains.Judge(c.now, c.observed(m))
+	return f.Expect > config.Micro(0.8*m.kind.BootS) || f.Verdict == domain.Dead
+}
+
+// unsent frees launches of a silent machine that were stored but never went with an
+// answer to it. The proof is that launches take no other way, that only this
+// overseer would send these, and that it frees them in the same turn.
+func (c *Core) unsent(m *machine) {
+	m.each(func(p *placement) {
+		if p.stored && !p.sent && !p.seen && !p.loaded {
+			c.free(p)
+		}
+	})
+}
+
+// elsewhere knows, during one round of decisions about silent machines, how soon
+// their tasks could start on others.
+type elsewhere struct {
+	c    *Core
+	free map[*class]int    // places that nobody waits for
+	boot map[*class]Micros // until a rented machine could take one, -1 if none can be had
+	need map[string]bool   // whether room on such a machine would be used
+}
+
+// delay is how long a task of a returned machine would wait until it runs again: it
+// takes a free place, or a machine that has to be rented, or, where none can be had,
+// the one that takes the returned one's place once it can be reached.
+func (e *elsewhere) delay(j *job, m *machine, f *domain.Finding) Micros {
+	c := e.c
+	if e.free == nil {
+		e.free, e.boot = map[*class]int{}, map[*class]Micros{}
+	}
+	n, ok := e.free[j.class]
+	if !ok {
+		for _, o := range c.open {
+			if allowed(j, o) && (o.reserved == nil || o.reserved == j) {
+				n += slots(j, o.kind, o.cpus, o.gpus, o.mem)
+			}
+		}
+		for _, o := range c.jobs {
+			if o.rank >= j.rank && o.pending() > 0 && o.team.allows(o.spec.CPUs, o.spec.GPUs) && (o.class == j.class || o.spec.GPUs > 0 == (j.spec.GPUs > 0)) {
+				n -= o.pending()
+			}
+		}
+	}
+	e.free[j.class] = n - 1
+	fetch := config.Micro(j.spec.ImageGB / max(m.kind.FetchGBPS, 0.01))
+	if n > 0 {
+		return fetch
+	}
+	boot, ok := e.boot[j.class]
+	if !ok {
+		boot = -1
+		if t, _, _, found := c.choose(j, 1, ""); found {
+			boot = config.Micro(t.BootS)
+		}
+		e.boot[j.class] = boot
+	}
+	switch {
+	case boot >= 0:
+		return boot + fetch
+	case f.Verdict == domain.Cut:
+		return max(f.Expect, config.Micro(m.kind.BootS)) + fetch
+	}
+	return config.Micro(m.kind.BootS) + fetch
+}
+
+// giveUp weighs, for a machine that is silent beyond its lease, what waiting for it
+// costs against what returning it costs, both in time of its tasks, each by the part
+// of the machine that it takes. Nothing else counts: what is expected comes from what
+// was observed of this silence and of earlier ones, from the tasks' run times and
+// saves, and from what a replacement takes. Returning is the only way to free what
+// may still be on the machine; it is never free of cost, since a machine that is only
+// cut off goes on working.
+func (c *Core) giveUp(m *machine, e *elsewhere) (why string, ok bool) {
+	f := c.domains.Judge(c.now, c.observed(m))
+	if f.Verdict == domain.Blind {
+		return "", false
+	}
+	if f.Verdict == domain.Dead {
+		return f.Evidence, true
+	}
+	expect := float64(f.Expect)
+	if f.Verdict == domain.Unclear {
+		// Either it is dead, which the list will tell, or it comes back.
+		expect = f.Dying*float64(f.Known) + (1-f.Dying)*expect
+	}
+	gain, idle := 0.0, 1.0
+	m.each(func(p *placement) {
+		j := p.job
+		part := j.spec.CPUs / max(m.kind.CPUs, eps)
+		if m.kind.GPUs > 0 {
+			part = max(part, j.spec.GPUs/m.kind.GPUs)
+		}
+		idle -= part
+		if j.over() || j.isDone(p.task) {
+			return // nobody waits for it
+		}
+		if j.gang() && (j.broken || p.stop) {
+			// Its whole gang waits for this attempt to be gone.
+			gain += part * expect * float64(j.spec.Tasks)
+			return
+		}
+		delay := float64(e.delay(j, m, &f))
+		if p.stop || !f.Working {
+			gain += part * (expect - delay) // it runs no more: it only has to start again
+			return
+		}
+		left, lost := c.atStake(p, f.Since)
+		gain += part * (max(expect, left) - (delay + left + lost))
+	})
+	if idle > eps {
+		replace := 0.0
+		if e.needs(m) {
+			replace = m.kind.BootS * float64(second)
+		}
+		gain += idle * (expect - replace)
+	}
+	if gain <= 0 {
+		return "", false
+	}
+	return fmt.Sprintf("%s, %s, expected for %.0f s more", f.Verdict, f.Evidence, expect/float64(second)), true
+}
+
+// atStake is what a task that goes on working out of sight has still to run, and
+// what it would have to repeat if its machine were returned now. One that is expected
+// to have ended has neither: its result is kept.
+func (c *Core) atStake(p *placement, since Micros) (left, lost float64) {
+	est := float64(p.job.estimate())
+	ran := est/2 + float64(c.now-since) // it ran before this term
+	if p.running > 0 {
+		ran = float64(c.now - p.running)
+	} else if !p.loaded {
+		ran = float64(c.now - p.placed)
+	}
+	left = est - ran
+	if est == 0 {
+		left = math.MaxInt32 * float64(second) // a replica runs until it is stopped
+		return left, 0
+	}
+	if left <= 0 {
+		return 0, 0
+	}
+	lost = ran
+	if every := p.job.spec.CheckpointEvery; every > 0 {
+		lost = min(lost, every*float64(second))
+	}
+	return left, lost
+}
+
+// needs says whether room on the machine would be used if it were there now.
+func (e *elsewhere) needs(m *machine) bool {
+	k := spotKey(m.kind.Name, m.zone, m.spot)
+	need, ok := e.need[k]
+	if !ok {
+		if e.need == nil {
+			e.need = map[string]bool{}
+		}
+		need = e.c.needs(m)
+		e.need[k] = need
+	}
+	return need
+}
+
+func (c *Core) needs(m *machine) bool {
+	for _, j := range c.jobs {
+		if j.pending() > 0 && allowed(j, m) && fitsType(&j.spec, m.kind) {
+			return true
+		}
+	}
+	return c.soon(m.kind) > 0 || (c.reserve() > 0 && c.serves(m.kind, m.zone, m.spot) > 0)
+}
--- /dev/null
+++ b/internal/sched/silence_test.go
@@ -0,0 +1,119 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+
+	"dalefront/internal/config"
+	"dalefront/internal/domain"
+	"dalefront/wire"
+)
+
+// A launch that never went with an answer to a machine that fell silent is given
+// back at once: nobody else sends it. One that was sent may have arrived.
+func TestUnsentLaunch(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		b := newBed(t, config.Team{Name: "a"})
+		b.report("n-1", "s", "x", 1)
+		b.AddJob(spec("j-1", "a", wire.Normal, 1, 8), b.now, b.now)
+		b.schedule()
+		if sent {
+			b.report("n-1", "s", "x", 1)
+		}
+		b.now += b.silence() + second
+		b.report("n-2", "s", "x", 1)
+		b.schedule()
+		if got := b.machines["n-2"].n == 1; got == sent {
+			t.Errorf("sent %v: placed anew %v", sent, got)
+		}
+	}
+}
+
+// zoneBed is a term in which zone y fell silent 30 s ago with four machines, on each
+// a task that runs for an hour; x is heard.
+func zoneBed(t *testing.T, inside bool) *bed {
+	b := newBed(t, config.Team{Name: "a"})
+	j := spec("j-1", "a", wire.Normal, 4, 8)
+	zone := "y"
+	j.Zone, j.EstimateS = &zone, 3600
+	b.AddJob(j, b.now, b.now)
+	hosts := []string{"n-1", "n-2", "n-3", "n-4"}
+	for _, h := range hosts {
+		b.report(h, "s", "y", 1)
+	}
+	b.schedule()
+	for _, h := range hosts {
+		b.report(h, "s", "y", 1, b.running(h)...)
+	}
+	var cs []domain.Controller
+	if inside {
+		cs = append(cs, domain.Controller{Zone: "y", Heard: b.now})
+	}
+	for range 30 {
+		b.now += second
+		for _, h := range []string{"n-5", "n-6", "n-7"} {
+			b.report(h, "s", "x", 1)
+		}
+		b.Survey(b.now, cs)
+		b.tend()
+	}
+	return b
+}
+
+// Work that goes on behind a cut is worth waiting for; a machine whose task has to be
+// gone is given back whatever it costs, and one that the list shows dead at once.
+func TestSilentZone(t *testing.T) {
+	b := zoneBed(t, true)
+	if !b.domains.IsCut("y") {
+		t.Fatal("not found to be cut off")
+	}
+	if back := b.Returns(b.now, false); slices.Contains(back, "n-1") {
+		t.Errorf("returned %v, whose work goes on", back)
+	}
+	if got := len(b.Hires(b.now)); got > 0 {
+		t.Errorf("%d hires for work that does not wait", got)
+	}
+	b.Machines([]wire.Machine{{ID: "n-1", Type: "s", Zone: "y", State: wire.HostFailed}}, b.now)
+	if back := b.Returns(b.now, false); !slices.Equal(back, []string{"n-1"}) {
+		t.Errorf("returned %v, want the dead one", back)
+	}
+	b.Ended("j-1", wire.JobCancelled, b.now-20*second, b.now)
+	if back := b.Returns(b.now, false); !slices.Equal(back, []string{"n-2", "n-3", "n-4"}) {
+		t.Errorf("returned %v, want those of the cancelled job", back)
+	}
+}
+
+// Without a controller inside leases run out and the work is lost: it starts again
+// elsewhere as soon as there is room, and only then are the machines given up.
+func TestSilentZoneWithoutController(t *testing.T) {
+	b := zoneBed(t, false)
+	if back := b.Returns(b.now, false); slices.Contains(back, "n-1") {
+		t.Errorf("returned %v: its tasks may run in that zone alone", back)
+	}
+	b.jobs["j-1"].spec.Zone = nil // now they may run anywhere, and three machines are free
+	back := b.Returns(b.now, false)
+	if n := len(slices.DeleteFunc(back, func(h string) bool { return h > "n-4" })); n < 3 {
+		t.Errorf("%d machines returned, want one for each free one at least", n)
+	}
+}
+
+// A new overseer learns from its peers since when machines are silent.
+func TestToldAtTakeover(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.AddJob(spec("j-1", "a", wire.Normal, 4, 8), b.now, b.now)
+	e := Entry{}
+	for i, h := range []string{"n-1", "n-2", "n-3", "n-4"} {
+		e.Hosts = append(e.Hosts, EntryHost{Host: h, Addr: h, Type: "s", Zone: "y", Session: 1})
+		e.Runs = append(e.Runs, Run{Host: i, Job: "j-1", Attempt: 5, Tasks: []int32{int32(i)}})
+		b.Told(h, b.now-15*second)
+	}
+	b.Load(map[string]Entry{"e": e})
+	b.now += second
+	for _, h := range []string{"n-5", "n-6", "n-7"} {
+		b.report(h, "s", "x", 1)
+	}
+	b.Survey(b.now, []domain.Controller{{Zone: "y", Heard: b.now - 15*second}})
+	if !b.domains.IsCut("y") {
+		t.Error("the zone's silence began anew with the term")
+	}
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -35,6 +35,8 @@
 	spot    bool
 	born    int64
 	dead    bool
+	died    int64 // when it died; the list shows it running for a while yet
+	hung    int64 // until when it hangs
 	session uint64
 	seq     uint64
 	token   uint64
@@ -45,6 +47,7 @@
 	nextAt  int64 // when it reports next
 	gaveUp  int64 // when the report in flight is given up
 	nonce   int   // of the report in flight
+	heard   int64 // when a report of it last reached a controller outside
 	echo    int64 // until when a peer renews its lease instead of the overseer
 	recall  int64
 	never   bool // it never comes up
@@ -114,10 +117,15 @@
 
 	completed map[string]map[string]bool // job -> tasks completed
 	forgotten map[string]bool
-	Most      int // machines that the cloud has
-	Runs      int // tasks started
-	Failed    int // of these, at once
-	Done      int // jobs done
+	zones     map[string]*cut
+	Sound     bool // new machines don't fail every task
+	Calm      bool // the network loses and delays nothing but behind cuts
+	Most      int  // machines that the cloud has
+	Returned  int  // machines given back
+	Lost      int  // tasks that ran when their worker forgot them or their machine was given back
+	Runs      int  // tasks started
+	Failed    int  // of these, at once
+	Done      int  // jobs done
 	Broken    []string
 }
 
@@ -127,7 +135,7 @@
 		Rng: rand.New(rand.NewPCG(seed, 1)), Now: 1_000 * second, Set: set, Catalog: cat,
 		workers: map[string]*worker{}, jobs: map[string]wire.Job{}, arrived: map[string]int64{}, ends: map[string]string{},
 		endAt: map[string]int64{}, chunks: map[string]map[int]string{}, ledger: map[string]sched.Entry{},
-		completed: map[string]map[string]bool{}, forgotten: map[string]bool{},
+		completed: map[string]map[string]bool{}, forgotten: map[string]bool{}, zones: map[string]*cut{},
 	}
 	w.Takeover()
 	return w
@@ -159,6 +167,11 @@
 			c.Ended(id, st, w.endAt[id], w.Now)
 		}
 	}
+	for _, h := range keys(w.workers) {
+		if k := w.workers[h]; k.heard > 0 && w.Rng.IntN(4) > 0 {
+			c.Told(h, k.heard) // a peer had heard it
+		}
+	}
 	w.Core = c
 }
 
@@ -233,7 +246,7 @@
 // Kill lets a machine die.
 func (w *World) Kill() {
 	if hs := keys(w.workers); len(hs) > 0 {
-		w.workers[hs[w.Rng.IntN(len(hs))]].dead = true
+		w.die(w.workers[hs[w.Rng.IntN(len(hs))]])
 	}
 }
 
@@ -251,10 +264,11 @@
 func (w *World) lease() int64 { return config.Micro(w.Set.Deployment.Workers.LeaseS) }
 
 func (w *World) workerStep(k *worker) {
-	if k.dead || k.never {
+	if k.dead || k.never || w.Now < k.hung {
 		return
 	}
 	if w.Now-k.renewed > w.lease() {
+		w.Lost += k.running()
 		k.session++
 		k.seq = 0
 		k.renewed = w.Now
@@ -267,7 +281,7 @@
 		case t == nil:
 		case t.state == wire.TaskFetching && w.Now >= t.ready:
 			w.begin(k, t)
-		case t.state == wire.TaskRunning && w.Rng.IntN(150) == 0:
+		case t.state == wire.TaskRunning && w.Rng.IntN(w.steps(t)) == 0:
 			id, _, _ := wire.ParseTask(t.name)
 			w.exit(k, t, wire.CauseDone)
 			if w.jobs[id].Shape == wire.Gang {
@@ -366,7 +380,11 @@
 	k.waiting, k.gaveUp, k.nonce = true, w.Now+4*second, w.nonce
 	k.nextAt = w.Now + config.Micro(w.Set.Deployment.Workers.ReportS)
 	m := message{at: w.Now + int64(w.Rng.IntN(20_000)), report: r, sent: w.Now, nonce: w.nonce, w: k}
-	switch w.Rng.IntN(40) {
+	luck := w.Rng.IntN(40)
+	if w.Calm {
+		luck = 39
+	}
+	switch luck {
 	case 0: // held back, perhaps for longer than the worker waits
 		m.at += int64(w.Rng.IntN(int(30 * second)))
 	case 1:
@@ -376,6 +394,9 @@
 	case 3: // another node renews the lease under the same token, for a while
 		k.echo = w.Now + int64(w.Rng.IntN(int(20*second)))
 	}
+	if w.cutOff(k, m) {
+		return
+	}
 	if w.Now < k.echo && k.token > 0 {
 		k.waiting = false
 		k.renewed = w.Now
@@ -395,7 +416,8 @@
 		}
 		a := w.Core.Report(&m.report, w.Now)
 		k := m.w
-		if m.lost || k.dead || !k.waiting || k.nonce != m.nonce || k.session != m.report.Session {
+		k.heard = w.Now
+		if m.lost || k.dead || w.Now < k.hung || w.cut(k.zone) != nil || !k.waiting || k.nonce != m.nonce || k.session != m.report.Session {
 			continue
 		}
 		k.waiting = false
@@ -517,9 +539,10 @@
 		}
 	}
 	if w.Rng.IntN(10) == 0 {
+		c.Survey(w.Now, w.controllers())
 		if back := c.Returns(w.Now, c.Blind(w.Now)); len(back) > 0 {
 			for _, h := range back {
-				delete(w.workers, h)
+				w.giveBack(h)
 			}
 			c.Gone(back, w.Now)
 		}
@@ -531,7 +554,7 @@
 				w.Boot(h.Type, h.Zone, h.Spot)
 				hosts = append(hosts, fmt.Sprintf("n-%06d", w.nextID))
 				k := w.workers[hosts[i]]
-				k.never, k.faulty = w.Rng.IntN(8) == 0, w.Rng.IntN(10) == 0
+				k.never, k.faulty = w.Rng.IntN(8) == 0, !w.Sound && w.Rng.IntN(10) == 0
 			}
 			// Machines may be up before the answer that names them.
 			w.hires = append(w.hires, hired{w.Now + int64(w.Rng.IntN(int(4*second))), c, h, hosts})
@@ -548,7 +571,7 @@
 			}
 		}
 		for _, h := range keys(w.workers) {
-			if k := w.workers[h]; h+":1" == d.Addr && !k.dead && k.session == d.Orders.Session && k.token <= d.Orders.Token && w.Rng.IntN(2) == 0 {
+			if k := w.workers[h]; h+":1" == d.Addr && !k.dead && w.Now >= k.hung && w.cut(k.zone) == nil && k.session == d.Orders.Session && k.token <= d.Orders.Token && w.Rng.IntN(2) == 0 {
 				k.seq++
 				for _, o := range d.Orders.Orders {
 					w.execute(k, o)
@@ -593,7 +616,7 @@
 	w.direct(old)
 	back := old.Returns(w.Now, old.Blind(w.Now))
 	for _, h := range back[:min(3, len(back))] {
-		delete(w.workers, h)
+		w.giveBack(h)
 	}
 }
 
@@ -604,10 +627,11 @@
 		l := list{at: w.Now}
 		for _, h := range keys(w.workers) {
 			k := w.workers[h]
-			if k.dead && w.Rng.IntN(2) == 0 {
-				continue
+			state := wire.HostRunning
+			if k.dead && w.Now-k.died > 30*second {
+				state = wire.HostFailed
 			}
-			l.hosts = append(l.hosts, wire.Machine{ID: h, Addr: h + ":1", Type: k.typ.Name, Zone: k.zone, Spot: k.spot, State: wire.HostRunning, AgeS: float64(w.Now-k.born) / 1e6})
+			l.hosts = append(l.hosts, wire.Machine{ID: h, Addr: h + ":1", Type: k.typ.Name, Zone: k.zone, Spot: k.spot, State: state, AgeS: float64(w.Now-k.born) / 1e6})
 		}
 		w.lists = append(w.lists, l)
 	}
