Leave graphics machines to those whose start is watched most closely

Change: of equal priority only a class whose strictest aim is stricter than that of the graphics classes may.

--- a/internal/sched/fleet_test.go
+++ b/internal/sched/fleet_test.go
@@ -126,3 +126,22 @@
 		t.Error("a graphics machine stands empty though ordinary ones are sold out")
 	}
 }
+
+// Only work that an aim watches more closely than graphics tasks fills the processors
+// of graphics machines: small tasks with a loose aim had left half their GPUs idle.
+func TestLooserAimLeavesGraphics(t *testing.T) {
+	for _, within := range []float64{60, 250} {
+		b := newBed(t, config.Team{Name: "a"})
+		b.set.Deployment.Objectives = []config.Objective{{Kind: "wait", Class: "scan", WithinS: 120}, {Kind: "wait", Class: "cj-2", WithinS: within}}
+		b.report("n-1", "g", "x", 1)
+		scan := spec("j-1", "a", wire.Low, 3, 1)
+		scan.Class, scan.GPUs = "scan", 1
+		b.AddJob(scan, b.now, b.now)
+		b.AddJob(spec("j-2", "a", wire.Low, 8, 1), b.now, b.now)
+		b.look()
+		b.viewGPUs(b.queue())
+		if got, want := b.deserves(b.jobs["j-2"]), within < 120; got != want {
+			t.Errorf("an aim of %.0f s beside one of 120 s: graphics machines are kept for it %v, want %v", within, got, want)
+		}
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -189,6 +189,7 @@
 type gpuView struct {
 	any       bool
 	rank      int
+	wait      Micros  // the strictest aim for their start, 0 if there is none
 	cpus, mem float64 // the most that a task takes beside one GPU
 	free      float64 // GPUs free on usable machines
 	waiting   float64 // GPUs wanted by waiting tasks
@@ -206,6 +207,9 @@
 		v.cpus, v.mem = max(v.cpus, s.CPUs/s.GPUs), max(v.mem, s.MemoryGB/s.GPUs)
 		v.rank = max(v.rank, cl.sample.rank)
 		v.rate += cl.perSecond(c.now) * s.GPUs
+		if len(cl.waits) > 0 && (v.wait == 0 || cl.waits[0] < v.wait) {
+			v.wait = cl.waits[0]
+		}
 	}
 	clear(c.ordinary)
 	for _, j := range queue {
@@ -224,10 +228,10 @@
 
 // deserves says whether a graphics machine is kept for tasks of the job too: they
 // use graphics, rank higher than those that do, or have an aim that watches their
-// start.
+// start more closely.
 func (c *Core) deserves(j *job) bool {
 	v := &c.gpus
-	return !v.any || j.spec.GPUs > 0 || j.rank > v.rank || (j.rank == v.rank && len(j.class.waits) > 0)
+	return !v.any || j.spec.GPUs > 0 || j.rank > v.rank || (j.rank == v.rank && len(j.class.waits) > 0 && (v.wait == 0 || j.class.waits[0] < v.wait))
 }
 
 // mayBlockGPUs says whether a task without graphics may go to a graphics
