Hold lower priorities back where a gang would clear them; forget arrivals that ceased

After the last arrival machines were kept for minutes for work that the decayed rate still expected. The fleet's sites have 1,050 and 1,069 machines, and max_machines stood at 1,000.

Change: in a pass lower priorities start nothing where a waiting gang could start once they were cleared. The rate of arrivals is bounded by the time since the last one. Returning a silent machine counts a boot only where the cloud has not lately refused one. max_machines is 20,000. 'job over' says when a job had all its places and whether it was within its guarantee; silent_patience is a setting.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -108,6 +108,7 @@
 	TermS         *float64 `hcl:"term_s,optional"`
 	CheckpointMBS *float64 `hcl:"checkpoint_mb_per_s,optional"`
 	LeftoverRentS *float64 `hcl:"leftover_rent_s,optional"`
+	Patience      *float64 `hcl:"silent_patience,optional"`
 }
 
 func or[T any](p *T, def T) *T {
@@ -122,10 +123,11 @@
 	o.EvictAfterS = or(o.EvictAfterS, 1.5)
 	o.SpareFactor = or(o.SpareFactor, 1)
 	o.ReserveFactor = or(o.ReserveFactor, 1.25)
-	o.MaxMachines = or(o.MaxMachines, 1000)
+	o.MaxMachines = or(o.MaxMachines, 20000)
 	o.TermS = or(o.TermS, 2)
 	o.CheckpointMBS = or(o.CheckpointMBS, 100)
 	o.LeftoverRentS = or(o.LeftoverRentS, 600)
+	o.Patience = or(o.Patience, 1)
 }
 
 func (o *Operator) check() error {
@@ -141,6 +143,7 @@
 		{"term_s", *o.TermS, 0.5, 60},
 		{"checkpoint_mb_per_s", *o.CheckpointMBS, 0.1, 1e6},
 		{"leftover_rent_s", *o.LeftoverRentS, 0, 1e9},
+		{"silent_patience", *o.Patience, 0, 1000},
 	} {
 		if !(f.v >= f.lo && f.v <= f.hi) {
 			return fmt.Errorf("%s: must be from %g to %g", f.name, f.lo, f.hi)
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -90,6 +90,7 @@
 	cl.sample = j
 	if now-j.arrival < rateMemory {
 		cl.arrive(now, float64(spec.Tasks))
+		cl.last = max(cl.last, j.arrival)
 	}
 }
 
@@ -159,7 +160,7 @@
 	}
 	j.ended, j.endedAt = status, min(at, now)
 	c.log("job over", "job", id, "class", j.spec.Class, "team", j.spec.Team, "status", status, "tasks", j.spec.Tasks,
-		"age_us", now-j.arrival, "first_start_us", max(0, j.first-j.arrival), "late_us", max(0, now-j.due),
+		"age_us", now-j.arrival, "guaranteed", j.guaranteed, "placed_us", max(0, j.placedAt-j.arrival), "first_start_us", max(0, j.first-j.arrival), "late_us", max(0, now-j.due),
 		"estimate_us", j.estimate(), "evictions", j.evictions)
 	j.dirty = map[int]bool{}
 	for p := range j.placements {
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -241,10 +241,17 @@
 	return min(config.Micro(*c.set.Operator.IdleReturnS), config.Micro(boots*t.BootS))
 }
 
+// hadNone says whether the cloud was asked for such a machine lately and had none:
+// that outlasts the time for which it isn't asked again.
+func (c *Core) hadNone(typ, zone string, spot bool) bool {
+	const lately = 45 * second
+	until, refused := c.refused[spotKey(typ, zone, spot)]
+	return refused && c.now <= until+lately
+}
+
 // soldOut says whether the cloud lately had no machine without graphics for the
 // job.
 func (c *Core) soldOut(j *job) bool {
-	const lately = 45 * second // beyond the time for which it isn't asked again
 	for _, t := range c.types {
 		if t.GPUs > 0 || !fitsType(&j.spec, t) {
 			continue
@@ -253,7 +260,7 @@
 			if j.spec.Zone != nil && *j.spec.Zone != z {
 				continue
 			}
-			if until, refused := c.refused[spotKey(t.Name, z, false)]; !refused || c.now > until+lately {
+			if !c.hadNone(t.Name, z, false) {
 				return false
 			}
 		}
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -132,6 +132,71 @@
 	return n
 }
 
+const (
+	mostHeldFor = 32         // gangs that others are held back for in a pass
+	holdFor     = 5 * second // how long a gang may take to start once it could
+)
+
+// holdBack keeps lower priorities off the machines on which a waiting gang of a higher
+// one would start as soon as they were cleared: whatever they started there would be
+// stopped again before it had its image. A gang that could start and does not, since
+// no more of its victims may be stopped, holds them back half of the time only.
+func (c *Core) holdBack(gangs []*job) {
+	for _, j := range gangs[:min(len(gangs), mostHeldFor)] {
+		if j.imminent > 0 && c.now-j.imminent > 2*holdFor {
+			j.imminent = 0
+		}
+		if j.imminent > 0 && c.now-j.imminent > holdFor {
+			continue
+		}
+		used := j.zones()
+		sum := map[string]int{}
+		zone := func(m *machine) string {
+			if j.spec.OneZone {
+				return m.zone
+			}
+			return ""
+		}
+		cleared := func(m *machine) int {
+			if m.wantedBy > 0 || !allowed(j, m) || !zoneOK(j, used, m.zone) || (m.reserved != nil && m.reserved != j && m.reserved.rank >= j.rank) {
+				return 0
+			}
+			u := m.below(j.rank)
+			return slots(j, m.kind, m.cpus-u.cpus, m.gpus-u.gpus, m.mem-u.mem)
+		}
+		for _, m := range c.open {
+			sum[zone(m)] += cleared(m)
+		}
+		missing, in, found := j.pending(), "", false
+		for z, n := range sum {
+			if n >= missing && (!found || n < sum[in] || (n == sum[in] && z < in)) {
+				in, found = z, true
+			}
+		}
+		if !found {
+			j.imminent = 0
+			continue
+		}
+		if j.imminent == 0 {
+			j.imminent = c.now
+		}
+		for _, empty := range []bool{true, false} { // those that need no clearing first
+			for _, m := range c.open {
+				if missing <= 0 {
+					break
+				}
+				if zone(m) != in || room(j, m, 1) != empty {
+					continue
+				}
+				if n := cleared(m); n > 0 {
+					missing -= n
+					m.wantedBy = j.rank
+				}
+			}
+		}
+	}
+}
+
 // way is how a machine can come to have room for tasks of a gang.
 type way struct {
 	m       *machine
--- a/internal/sched/learned.go
+++ b/internal/sched/learned.go
@@ -65,6 +65,9 @@
 		old.decay(c.now)
 		if old.arrivals > cl.arrivals {
 			cl.arrivals, cl.at, cl.size = old.arrivals, c.now, x.Size
+			if cl.last == 0 {
+				cl.last = c.now // nobody says how long before
+			}
 		}
 	}
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -92,9 +92,13 @@
 	failAfter  Micros          // the longest that a task ran before it failed
 	waitSince  Micros          // since when something waits, 0 if nothing does
 	evictions  int
+	imminent   Micros // a gang: since when clearing lower priorities would let it start, 0 if it would not
 	within     bool   // it fits its team's guarantee with the team's earlier jobs
 	noRoomTill Micros // nothing could be cleared for it; not tried again before
 	first      Micros // when a task was first seen running
+	placedAt   Micros // when first no task of it waited for a place
+	guaranteed bool   // it was within its team's guarantee when it was first looked at
+	looked     bool
 	savedRun   Micros // progress saved by stops, per task at most
 
 	// gang
@@ -240,6 +244,7 @@
 	ratio    float64 // actual run time over estimate
 	arrivals float64 // decayed count of tasks that arrived
 	at       Micros
+	last     Micros  // when a job last arrived
 	sample   *job    // a recent job, for its shape
 	size     float64 // tasks of a job, a mean that forgets
 
@@ -271,10 +276,16 @@
 	}
 }
 
-// perSecond is the rate at which tasks arrive.
+// perSecond is the rate at which tasks arrive. When no job has come for a while, a
+// rate of more than three in that while can be excluded (with 95% confidence, for
+// independent arrivals): machines are not kept for work that has ceased to come.
 func (c *class) perSecond(now Micros) float64 {
 	c.decay(now)
-	return c.arrivals / (float64(rateMemory) / float64(second))
+	rate := c.arrivals / (float64(rateMemory) / float64(second))
+	if c.last > 0 && now > c.last {
+		rate = min(rate, 3*max(1, c.size)*float64(second)/float64(now-c.last))
+	}
+	return rate
 }
 
 type machine struct {
@@ -303,6 +314,8 @@
 	avoid     Micros        // place nothing before
 	slow      float64       // how its tasks' run times compare with the usual, 1 is usual
 
+	byRank         [4]use // of what is taken, by the jobs' priority
+	wantedBy       int    // in this pass: the priority of a gang that would clear it at once
 	tasks          map[taskKey][]*placement
 	n              int
 	cpus, gpus     float64
@@ -318,6 +331,17 @@
 	fetchingImages map[string]Micros
 }
 
+// use is what tasks take of a machine.
+type use struct{ cpus, gpus, mem float64 }
+
+// below is what is taken by jobs of a lower rank.
+func (m *machine) below(rank int) (u use) {
+	for _, x := range m.byRank[:rank] {
+		u.cpus, u.gpus, u.mem = u.cpus+x.cpus, u.gpus+x.gpus, u.mem+x.mem
+	}
+	return u
+}
+
 func (m *machine) each(f func(*placement)) {
 	for _, ps := range m.tasks {
 		for _, p := range ps {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -168,7 +168,7 @@
 
 // takesMore says whether a usable machine may take another task of the job.
 func (c *Core) takesMore(j *job, m *machine, zones map[string]int) bool {
-	return room(j, m, 1) && allowed(j, m) && m.n < maxOnMachine && zoneOK(j, zones, m.zone) && !c.claimed(j, m) &&
+	return j.rank >= m.wantedBy && room(j, m, 1) && allowed(j, m) && m.n < maxOnMachine && zoneOK(j, zones, m.zone) && !c.claimed(j, m) &&
 		(j.spec.GPUs > 0 || m.kind.GPUs == 0 || c.mayBlockGPUs(j, m))
 }
 
@@ -272,6 +272,9 @@
 			q = append(q, j)
 		} else {
 			j.waitSince = 0
+			if j.placedAt == 0 {
+				j.placedAt = c.now
+			}
 		}
 	}
 	type key struct {
@@ -356,6 +359,9 @@
 			cpus += n * j.spec.CPUs
 			gpus += n * j.spec.GPUs
 			j.within = (t.CPUs == 0 || cpus <= t.CPUs+eps) && (t.GPUs == 0 || gpus <= t.GPUs+eps)
+			if !j.looked {
+				j.looked, j.guaranteed = true, j.within
+			}
 		}
 	}
 }
@@ -374,10 +380,15 @@
 	c.viewGPUs(queue)
 	c.view(queue)
 	var gangs []*job // without room
+	rank := len(c.ranks)
 	for _, j := range queue {
 		if now < j.notBefore {
 			continue
 		}
+		if j.rank < rank {
+			rank = j.rank
+			c.holdBack(gangs)
+		}
 		if !j.gang() {
 			c.placeTasks(j, b)
 		} else if !c.placeGang(j, b) && !j.suspect() {
@@ -394,6 +405,7 @@
 func (c *Core) look() {
 	c.open = c.open[:0]
 	for _, m := range c.order {
+		m.wantedBy = 0
 		if c.usable(m) {
 			c.open = append(c.open, m)
 		}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -42,6 +42,8 @@
 	m.cpus += j.spec.CPUs
 	m.gpus += j.spec.GPUs
 	m.mem += j.spec.MemoryGB
+	u := &m.byRank[j.rank]
+	u.cpus, u.gpus, u.mem = u.cpus+j.spec.CPUs, u.gpus+j.spec.GPUs, u.mem+j.spec.MemoryGB
 	j.team.cpus += j.spec.CPUs
 	j.team.gpus += j.spec.GPUs
 	j.placements[p] = struct{}{}
@@ -77,6 +79,8 @@
 	m.cpus -= j.spec.CPUs
 	m.gpus -= j.spec.GPUs
 	m.mem -= j.spec.MemoryGB
+	u := &m.byRank[j.rank]
+	u.cpus, u.gpus, u.mem = u.cpus-j.spec.CPUs, u.gpus-j.spec.GPUs, u.mem-j.spec.MemoryGB
 	j.team.cpus -= j.spec.CPUs
 	j.team.gpus -= j.spec.GPUs
 	if p.stop {
@@ -84,7 +88,7 @@
 		j.team.leavingGPUs -= j.spec.GPUs
 	}
 	if m.n == 0 {
-		m.cpus, m.gpus, m.mem = 0, 0, 0
+		m.cpus, m.gpus, m.mem, m.byRank = 0, 0, 0, [4]use{}
 		m.idleSince = c.now
 	}
 	if c.deserves(j) {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -25,7 +25,7 @@
 	d.Cloud.RPS, d.Cloud.ListLagS = 4, 5
 	f := func(x float64) *float64 { return &x }
 	n := 100
-	set.Operator = config.Operator{IdleReturnS: f(50), EvictAfterS: f(1), SpareFactor: f(1), ReserveFactor: f(1), MaxMachines: &n, TermS: f(3), CheckpointMBS: f(100), LeftoverRentS: f(600)}
+	set.Operator = config.Operator{IdleReturnS: f(50), EvictAfterS: f(1), SpareFactor: f(1), ReserveFactor: f(1), MaxMachines: &n, TermS: f(3), CheckpointMBS: f(100), LeftoverRentS: f(600), Patience: f(1)}
 	cat := wire.Catalog{Types: []wire.MachineType{
 		{Name: "s", CPUs: 8, MemoryGB: 64, FetchGBPS: 1, Price: 1, SpotPrice: 0.5, BootS: 20, Zones: []string{"x", "y"}},
 		{Name: "g", CPUs: 12, GPUs: 2, MemoryGB: 64, FetchGBPS: 1, Price: 8, SpotPrice: 4, BootS: 30, Zones: []string{"x", "y"}},
--- a/internal/sched/silence.go
+++ b/internal/sched/silence.go
@@ -126,8 +126,16 @@
 	boot, ok := e.boot[j.class]
 	if !ok {
 		boot = -1
-		if t, _, _, found := c.choose(j, 1, ""); found {
-			boot = config.Micro(t.BootS)
+		for _, t := range c.types {
+			for _, z := range t.Zones {
+				if !fitsType(&j.spec, t) || (j.spec.Zone != nil && *j.spec.Zone != z) || c.domains.IsCut(z) ||
+					(c.hadNone(t.Name, z, false) && (!j.spec.Spot || c.hadNone(t.Name, z, true))) {
+					continue
+				}
+				if b := config.Micro(t.BootS); boot < 0 || b < boot {
+					boot = b
+				}
+			}
 		}
 		e.boot[j.class] = boot
 	}
@@ -155,11 +163,16 @@
 	if f.Verdict == domain.Dead {
 		return f.Evidence, true
 	}
+	patience := *c.set.Operator.Patience
+	if patience == 0 {
+		return "no patience is set", true
+	}
 	expect := float64(f.Expect)
 	if f.Verdict == domain.Unclear {
 		// Either it is dead, which the list will tell, or it comes back.
 		expect = f.Dying*float64(f.Known) + (1-f.Dying)*expect
 	}
+	expect /= patience
 	gain, idle := 0.0, 1.0
 	m.each(func(p *placement) {
 		j := p.job
