Keep spare room only for starts that a boot would miss

Change: spare room is kept and rented only for classes whose start, or guarantee, is watched more closely than twice a boot.

--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -327,20 +327,30 @@
 	slots int
 }
 
+// rentInTime is within how many boot times a rented machine is up, as far as counts:
+// it takes up to 1.5 usually.
+const rentInTime = 2
+
 // spares is the room to be kept free for tasks that arrive while a machine
-// would boot, for classes whose start the aims watch.
+// would boot, for classes whose start the aims watch too closely for a boot.
 func (c *Core) spares(now Micros) []demand {
-	guarantee := false
+	guarantee := Micros(0) // the strictest aim
 	for _, o := range c.set.Deployment.Objectives {
-		guarantee = guarantee || o.Kind == "guarantee"
+		if at := config.Micro(o.WithinS); o.Kind == "guarantee" && (guarantee == 0 || at < guarantee) {
+			guarantee = at
+		}
 	}
 	var out []demand
 	for _, cl := range c.classes {
 		if cl.sample == nil || cl.sample.spec.Shape == wire.Service {
 			continue
 		}
-		if len(cl.waits) == 0 && !(guarantee && (cl.sample.team.CPUs > 0 || cl.sample.team.GPUs > 0)) {
-			continue
+		watch := Micros(math.MaxInt64)
+		if len(cl.waits) > 0 {
+			watch = cl.waits[0]
+		}
+		if guarantee > 0 && (cl.sample.team.CPUs > 0 || cl.sample.team.GPUs > 0) {
+			watch = min(watch, guarantee)
 		}
 		boot := 0.0
 		for _, t := range c.types {
@@ -348,6 +358,9 @@
 				boot = t.BootS
 			}
 		}
+		if watch > config.Micro(rentInTime*boot)+10*second {
+			continue // a machine rented when it is needed is up in time
+		}
 		// Poisson arrivals during a boot, less what finishes meanwhile is left
 		// to chance: the mean plus one deviation.
 		n := cl.perSecond(now) * (boot + 10)
