Passes whose cost grows linearly with the machines; a benchmark up to 10,000

A pass with a sixth as many jobs waiting as machines took 0.23, 2.5 and 33 ms: each job looked at all machines, full or not, and at all again for each machine that it filled.

--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -106,15 +106,21 @@
 	return false
 }
 
+// mostLooks bounds how many machines are looked at for victims, or for gangs, in a
+// pass.
+const mostLooks = 200_000
+
 // noRoom is how long a job for which nothing could be cleared is not tried again.
 const noRoom = second
 
 // makeRoom evicts for the job's next task, if it has waited long enough and may
 // evict at all: victims from the one machine with the least total cost.
 func (c *Core) makeRoom(j *job) {
-	if !c.mayEvict(j) {
+	// Each look goes over all machines; those who don't get one have it in a later pass.
+	if !c.mayEvict(j) || c.cleared > max(4, mostLooks/max(1, len(c.open))) {
 		return
 	}
+	c.cleared++
 	reserved := 0
 	usable := 0
 	for _, m := range c.open {
@@ -129,7 +135,7 @@
 	if reserved >= max(1, usable/4) || reserved >= j.pending() {
 		return
 	}
-	zones := j.zones()
+	zones, claims := j.zones(), c.claims(j)
 	var bestM *machine
 	var best []victim
 	var bestCost Micros
@@ -138,6 +144,9 @@
 			j.spec.CPUs > m.kind.CPUs+eps || j.spec.GPUs > m.kind.GPUs+eps || j.spec.MemoryGB > m.kind.MemoryGB+eps {
 			continue
 		}
+		if u := m.below(j.rank); !claims && slots(j, m.kind, m.cpus-u.cpus, m.gpus-u.gpus, m.mem-u.mem) == 0 {
+			continue // not with all of them gone
+		}
 		vs, ok := c.victims(j, m)
 		if !ok {
 			continue
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -89,7 +89,7 @@
 func (c *Core) gangZones(j *job, missing int) []string {
 	used := j.zones()
 	room, like := map[string]int{}, map[string]float64{}
-	for _, m := range c.open {
+	for _, m := range c.roomy {
 		n := c.slotsOn(j, m, used)
 		if n == 0 {
 			continue
@@ -135,10 +135,11 @@
 	return n
 }
 
-const (
-	mostHeldFor = 256        // gangs that others are held back for in a pass
-	holdFor     = 5 * second // how long a gang may take to start once it could
-)
+// holdFor is how long a gang may take to start once it could.
+const holdFor = 5 * second
+
+// looks is how many gangs may each look at all machines in a pass.
+func (c *Core) looks() int { return max(8, mostLooks/max(1, len(c.open))) }
 
 // shape is what decides where a gang's task may go.
 type shape struct {
@@ -162,7 +163,7 @@
 // no more of its victims may be stopped, holds them back half of the time only.
 func (c *Core) holdBack(gangs []*job) {
 	cleared := map[shape][]int{} // places on each open machine once it is cleared
-	for _, j := range gangs[:min(len(gangs), mostHeldFor)] {
+	for _, j := range gangs[:min(len(gangs), c.looks())] {
 		if j.imminent > 0 && c.now-j.imminent > 2*holdFor {
 			j.imminent = 0
 		}
@@ -266,7 +267,7 @@
 		return x.arrival < y.arrival
 	})
 	taken := map[string]bool{}
-	for _, j := range gangs {
+	for _, j := range gangs[:min(len(gangs), c.looks())] {
 		c.makeRoomForGang(j, j.pending(), taken)
 	}
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -379,6 +379,8 @@
 
 	order   []*machine // all, by name
 	open    []*machine // those that may get launches in this pass
+	roomy   []*machine // of these, those with room for anything that waits
+	cleared int        // jobs that looked for victims in this pass
 	planned Micros     // when it was last decided what is kept for gangs
 	changed bool       // something happened that a pass may use
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"container/heap"
 	"math"
 	"slices"
 	"sort"
@@ -147,19 +148,24 @@
 	return false
 }
 
+// preference is the score, with what the job's own failures on the machine add.
+func (c *Core) preference(j *job, m *machine) float64 {
+	s := c.score(j, m)
+	if j.errorHosts[m.host] {
+		s += 300
+	}
+	return s
+}
+
 // findMachine returns the best machine for a task now.
 func (c *Core) findMachine(j *job, zones map[string]int, only string) *machine {
 	var best *machine
 	bestScore := math.Inf(1)
-	for _, m := range c.open { // in the order of their names
+	for _, m := range c.roomy { // in the order of their names
 		if (only != "" && m.zone != only) || !c.takesMore(j, m, zones) || c.heldFrom(j, m) {
 			continue
 		}
-		s := c.score(j, m)
-		if j.errorHosts[m.host] {
-			s += 300
-		}
-		if s < bestScore {
+		if s := c.preference(j, m); s < bestScore {
 			best, bestScore = m, s
 		}
 	}
@@ -327,11 +333,9 @@
 			continue
 		}
 		cl.capacity += m.kind.CPUs
-		m.each(func(p *placement) {
-			if p.job.rank > j.rank {
-				cl.capacity -= p.job.spec.CPUs
-			}
-		})
+		for _, u := range m.byRank[j.rank+1:] {
+			cl.capacity -= u.cpus
+		}
 	}
 	return cl.capacity
 }
@@ -379,6 +383,8 @@
 	queue := c.queue()
 	c.viewGPUs(queue)
 	c.view(queue)
+	c.narrow(queue)
+	c.cleared = 0
 	var gangs []*job // without room
 	rank, held := len(c.ranks), 0
 	for _, j := range queue {
@@ -411,12 +417,69 @@
 			c.open = append(c.open, m)
 		}
 	}
+	c.roomy = c.open
+}
+
+// narrow leaves out, for this pass, the machines that have no room for even the least
+// that a waiting job asks for: within a pass they only get fuller. When much waits
+// nearly all are full, and each job would look at all of them.
+func (c *Core) narrow(queue []*job) {
+	cpus, mem := math.Inf(1), math.Inf(1)
+	for _, j := range queue {
+		cpus, mem = min(cpus, j.spec.CPUs), min(mem, j.spec.MemoryGB)
+	}
+	c.roomy = nil
+	for _, m := range c.open {
+		if m.cpus+cpus <= m.kind.CPUs+eps && m.mem+mem <= m.kind.MemoryGB+eps && m.n < maxOnMachine {
+			c.roomy = append(c.roomy, m)
+		}
+	}
+}
+
+// candidate is a machine that may take tasks of a job, by how much they would rather
+// not go there.
+type candidate struct {
+	m     *machine
+	score float64
+	order int
+}
+
+// candidates is a heap, the best first, equal ones in the order of their names.
+type candidates []candidate
+
+func (h candidates) Len() int      { return len(h) }
+func (h candidates) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h candidates) Less(a, b int) bool {
+	return h[a].score < h[b].score || (h[a].score == h[b].score && h[a].order < h[b].order)
+}
+func (h *candidates) Push(x any) { *h = append(*h, x.(candidate)) }
+func (h *candidates) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	*h = (*h)[:last]
+	return x
+}
+
+// candidates weighs all machines for a job once. While it is placed its tasks change
+// the score of the machine that they fill alone, and that one is filled until it takes
+// no more.
+func (c *Core) candidates(j *job, zones map[string]int) candidates {
+	var out candidates
+	for i, m := range c.roomy {
+		if c.takesMore(j, m, zones) && !c.heldFrom(j, m) {
+			out = append(out, candidate{m, c.preference(j, m), i})
+		}
+	}
+	heap.Init(&out)
+	return out
 }
 
 // placeTasks fills machine after machine: the best one for a task is also the
 // best for the job's next one, since it only gets fuller.
 func (c *Core) placeTasks(j *job, b *batch) {
 	zones := j.zones()
+	var all candidates
+	weighed := false
 	attempt := uint64(0)
 	tries := c.tries(j)
 	for {
@@ -426,7 +489,15 @@
 		if !j.team.allows(j.spec.CPUs, j.spec.GPUs) {
 			return // the limit holds, counting tasks that can't be seen
 		}
-		m := c.findMachine(j, zones, "")
+		if !weighed {
+			all, weighed = c.candidates(j, zones), true
+		}
+		var m *machine
+		for m == nil && len(all) > 0 {
+			if m = heap.Pop(&all).(candidate).m; !c.takesMore(j, m, zones) {
+				m = nil // its zone has had its share
+			}
+		}
 		if m == nil {
 			c.makeRoom(j)
 			return
--- a/internal/sched/scale_test.go
+++ b/internal/sched/scale_test.go
@@ -8,13 +8,21 @@
 	"dalefront/wire"
 )
 
-// scaled is a core with so many machines, full of arrays, a sixth as many jobs that
-// wait for more, and gangs that wait beside them. It returns the ledger too.
-func scaled(bm *testing.B, machines int) (*bed, map[string]Entry) {
-	b := crowd(bm, 1, machines, machines/6)
-	for i := range machines / 100 {
+// scaled is a core with so many machines, full of arrays of twelve classes, so many
+// jobs that wait for more, and a few gangs beside them. It returns the ledger too.
+func scaled(bm *testing.B, machines, jobs int) (*bed, map[string]Entry) {
+	b := crowd(bm, 1, machines, 0)
+	for i := range jobs {
+		j := spec(fmt.Sprintf("j-%06d", i), []string{"a", "b"}[i%2], []string{wire.Low, wire.Normal}[i/2%2], machines*8/jobs, float64(1+i%3))
+		j.Class, j.Image, j.EstimateS = fmt.Sprint("c", i%12), fmt.Sprint("i", i%4), float64(10+i%90)
+		if i%12 < 3 {
+			j.GPUs = 1
+		}
+		b.AddJob(j, b.now, b.now)
+	}
+	for i := range jobs / 16 {
 		j := spec(fmt.Sprintf("j-9%05d", i), "a", wire.High, 4+4*(i%4), 7)
-		j.Shape, j.OneZone = wire.Gang, true
+		j.Class, j.Shape, j.OneZone = "gangs", wire.Gang, true
 		b.AddJob(j, b.now, b.now)
 	}
 	ledger := map[string]Entry{}
@@ -27,29 +35,21 @@
 }
 
 // BenchmarkScale is what the core's work costs at sizes beyond any deployment yet: a
-// pass with nothing free, a worker's report, the look at silent machines when a tenth
+// pass with 160 jobs waiting, one with a sixth as many as there are machines, a worker's
+// report, the look at silent machines when a tenth
 // fell silent, and the loading of a takeover.
 func BenchmarkScale(bm *testing.B) {
 	for _, n := range []int{1000, 4000, 10_000} {
-		b, ledger := scaled(bm, n)
+		b, ledger := scaled(bm, n, n/6)
 		hosts := make([]string, 0, n)
 		tasks := map[string][]wire.TaskReport{}
 		for _, m := range b.order {
 			hosts = append(hosts, m.host)
 			tasks[m.host] = b.running(m.host)
 		}
-		bm.Run(fmt.Sprint("pass/", n), func(bm *testing.B) {
-			for bm.Loop() {
-				b.now += 20_000
-				for i := range n / 200 { // those that reported meanwhile
-					m := b.order[(int(b.now/20_000)*n/200+i)%n]
-					m.lastHello = b.now
-				}
-				if cm := b.Schedule(b.now); cm != nil {
-					b.Refused(cm, b.now)
-				}
-			}
-		})
+		few, _ := scaled(bm, n, 160)
+		bm.Run(fmt.Sprint("pass/", n), func(bm *testing.B) { few.passes(bm) })
+		bm.Run(fmt.Sprint("pass-all-waiting/", n), func(bm *testing.B) { b.passes(bm) })
 		i := 0
 		bm.Run(fmt.Sprint("report/", n), func(bm *testing.B) {
 			for bm.Loop() {
@@ -86,3 +86,17 @@
 		})
 	}
 }
+
+// passes runs passes 20 ms apart, with reports in between as they come every 4 s.
+func (b *bed) passes(bm *testing.B) {
+	n := len(b.order)
+	for bm.Loop() {
+		b.now += 20_000
+		for i := range n / 200 {
+			b.order[(int(b.now/20_000)*n/200+i)%n].lastHello = b.now
+		}
+		if cm := b.Schedule(b.now); cm != nil {
+			b.Refused(cm, b.now)
+		}
+	}
+}
