Calendars: recurring jobs with one run or one recorded miss

Change: internal/calendar reads schedules from HCL and knows time zones, clock changes, holidays, the sun, cron expressions and deadlines; internal/recur decides what is due, submitted and missed. A decision and the acceptance of its job are one transaction, conditional on the term and on the schedule's state. Off unless the operator's settings name a file.

--- a/cmd/dalefront/main.go
+++ b/cmd/dalefront/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/spf13/cobra"
 
+	"dalefront/internal/calendar"
 	"dalefront/internal/config"
 	"dalefront/internal/node"
 	"dalefront/wire"
@@ -62,6 +63,11 @@
 			if err != nil {
 				return err
 			}
+			if file := s.Operator.Calendar; file != "" {
+				if _, err := calendar.Load(file); err != nil {
+					return err
+				}
+			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: node %s, %d members, %d teams: good\n", settings, s.Label, len(s.Members), len(s.Deployment.Teams))
 			return nil
 		},
@@ -84,6 +90,7 @@
 	client("cancel ID", "Cancel a job", func(cmd *cobra.Command, id string) error {
 		return ask(cmd, http.MethodPost, server+wire.PathJobs+"/"+id+"/"+wire.CancelVerb, nil)
 	})
+	root.AddCommand(calendarCommand())
 	return root
 }
 
@@ -111,7 +118,8 @@
 	return n.Run(ctx)
 }
 
-func ask(cmd *cobra.Command, method, url string, body []byte) error {
+// request asks a controller and reads its answer; its error is one line.
+func request(method, url string, body []byte, out any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
@@ -132,8 +140,12 @@
 		_ = wire.Unmarshal(b, &e)
 		return fmt.Errorf("%s: %s", resp.Status, e.Error)
 	}
+	return wire.Unmarshal(b, out)
+}
+
+func ask(cmd *cobra.Command, method, url string, body []byte) error {
 	var st wire.JobStatus
-	if err := wire.Unmarshal(b, &st); err != nil {
+	if err := request(method, url, body, &st); err != nil {
 		return err
 	}
 	fmt.Fprintf(cmd.OutOrStdout(), "%s %s done=%d running=%d\n", st.ID, st.Status, st.Done, st.Running)
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -39,6 +39,14 @@
 	Healthy() bool
 }
 
+// Calendars is what a service offers that has recurring jobs. Without a calendar its
+// answers are ErrUnknown.
+type Calendars interface {
+	Schedules(ctx context.Context, after string) (wire.Schedules, error)
+	Schedule(ctx context.Context, name string) (wire.Schedule, error)
+	PauseSchedule(ctx context.Context, name string, paused bool) (wire.Schedule, error)
+}
+
 const contentType = "application/msgpack"
 
 func reply(w http.ResponseWriter, code int, body any) {
@@ -151,6 +159,9 @@
 		}
 		reply(w, http.StatusOK, map[string]bool{"ok": true})
 	})
+	if c, ok := s.(Calendars); ok {
+		schedules(mux, c)
+	}
 	return mux
 }
 
--- /dev/null
+++ b/internal/calendar/rule.go
@@ -0,0 +1,92 @@
+package calendar
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/robfig/cron/v3"
+)
+
+// rule says when a schedule's occurrences fall.
+type rule interface {
+	// next is the least occurrence after the instant, and the date that decides
+	// whether the schedule runs then. It is the zero time if there is none within
+	// years.
+	next(after time.Time) (at, date time.Time)
+}
+
+// cronRule is a cron expression of five fields, read as wall time of a zone.
+type cronRule struct {
+	spec    cron.Schedule
+	loc     *time.Location
+	skipGap bool // wall times that do not exist are left out, not moved to the change
+}
+
+var parser = cron.NewParser(cron.Minute | cron.Hour | cron.Dom | cron.Month | cron.Dow | cron.Descriptor)
+
+func newCron(expr string, loc *time.Location, skipGap bool) (*cronRule, error) {
+	if strings.Contains(expr, "=") || strings.HasPrefix(strings.TrimSpace(expr), "@every") {
+		return nil, fmt.Errorf("cron: %q: a time zone or an interval can't be part of the expression", expr)
+	}
+	spec, err := parser.Parse(expr)
+	if err != nil {
+		return nil, fmt.Errorf("cron: %q: %v", expr, err)
+	}
+	return &cronRule{spec, loc, skipGap}, nil
+}
+
+// next walks the expression's wall times, which the library finds in UTC, where no
+// clock is ever changed. The instants of rising wall times never fall, so the first
+// that is later than after is the least.
+func (r *cronRule) next(after time.Time) (time.Time, time.Time) {
+	for wall := r.spec.Next(wallOf(after, r.loc)); !wall.IsZero() && wall.Year() <= lastYear; wall = r.spec.Next(wall) {
+		if at, exists := resolve(wall, r.loc); at.After(after) && (exists || !r.skipGap) {
+			return at, wall
+		}
+	}
+	return time.Time{}, time.Time{}
+}
+
+// sunRule is an event of the sun at a place, moved by an offset.
+type sunRule struct {
+	event    string
+	lat, lon float64
+	offset   time.Duration
+	loc      *time.Location
+}
+
+// mostDays is how far ahead a rule looks for a day on which it occurs.
+const mostDays = 400
+
+func (r *sunRule) next(after time.Time) (time.Time, time.Time) {
+	day := wallOf(after.Add(-r.offset), r.loc)
+	for i := -1; i < mostDays; i++ {
+		d := time.Date(day.Year(), day.Month(), day.Day()+i, 0, 0, 0, 0, time.UTC)
+		t, ok := SunEvent(r.event, d.Year(), d.Month(), d.Day(), r.lat, r.lon)
+		if at := t.Add(r.offset); ok && at.After(after) {
+			return at.In(r.loc), d
+		}
+	}
+	return time.Time{}, time.Time{}
+}
+
+// finishRule starts so long before a wall time of each day by which it has to be done.
+// Its date is that of the wall time.
+type finishRule struct {
+	by  time.Duration // since midnight
+	run time.Duration
+	loc *time.Location
+}
+
+func (r *finishRule) next(after time.Time) (time.Time, time.Time) {
+	day := wallOf(after.Add(r.run), r.loc)
+	for i := -1; i < 4; i++ {
+		d := time.Date(day.Year(), day.Month(), day.Day()+i, 0, 0, 0, 0, time.UTC)
+		by, _ := resolve(d.Add(r.by), r.loc)
+		if at := by.Add(-r.run); at.After(after) {
+			return at.In(r.loc), d
+		}
+	}
+	return time.Time{}, time.Time{}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"os"
+	"path/filepath"
 	"sort"
 
 	"github.com/hashicorp/hcl/v2/gohcl"
@@ -109,6 +110,7 @@
 	CheckpointMBS *float64 `hcl:"checkpoint_mb_per_s,optional"`
 	LeftoverRentS *float64 `hcl:"leftover_rent_s,optional"`
 	Patience      *float64 `hcl:"silent_patience,optional"`
+	Calendar      string   `hcl:"calendar,optional"` // a file of recurring jobs; beside the operator's own file if relative
 }
 
 func or[T any](p *T, def T) *T {
@@ -188,6 +190,9 @@
 		}
 		return fmt.Errorf("%s:%d: %s: %s", path, line, d.Summary, d.Detail)
 	}
+	if c := s.Operator.Calendar; c != "" && !filepath.IsAbs(c) {
+		s.Operator.Calendar = filepath.Join(filepath.Dir(path), c)
+	}
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"dalefront/internal/api"
+	"dalefront/internal/calendar"
 	"dalefront/internal/cloud"
 	"dalefront/internal/config"
 	"dalefront/internal/peer"
@@ -30,6 +31,7 @@
 	cloud  *cloud.Client
 	worker *worker.Client
 	peers  map[string]*peer.Client
+	cal    *calendar.Calendar // recurring jobs, nil if none are configured
 	start  time.Time
 	wall   int64
 
@@ -78,6 +80,12 @@
 		finals:  map[string]wire.JobStatus{}, known: map[string]struct{}{}, peerAt: map[string]time.Time{}, heardAt: map[string]time.Time{},
 		sendOn: rate.NewLimiter(40, 80),
 	}
+	if file := set.Operator.Calendar; file != "" {
+		var err error
+		if n.cal, err = calendar.Load(file); err != nil {
+			return nil, err
+		}
+	}
 	for _, m := range set.Members {
 		c, err := peer.Dial(m.Addr)
 		if err != nil {
--- /dev/null
+++ b/internal/node/recur.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"dalefront/internal/recur"
+	"dalefront/internal/sched"
+	"dalefront/wire"
+)
+
+// schedulePrefix is where the state of recurring jobs is kept, one key a schedule.
+const schedulePrefix = "s/"
+
+func scheduleKey(name string) string { return schedulePrefix + name }
+
+// loadSchedules makes the engine of a term from the calendar and what is stored.
+func (r *reign) loadSchedules() error {
+	n := r.n
+	if n.cal == nil {
+		return nil
+	}
+	entries, _, err := n.state.List(r.ctx, schedulePrefix)
+	if err != nil {
+		return err
+	}
+	states, versions := map[string]recur.State{}, map[string]uint64{}
+	for _, e := range entries {
+		name := strings.TrimPrefix(e.Key, schedulePrefix)
+		var st recur.State
+		if err := wire.Unmarshal(e.Value, &st); err != nil {
+			return fmt.Errorf("schedule %s: %w", name, err)
+		}
+		states[name], versions[name] = st, e.Version
+	}
+	r.recur = recur.New(n.cal, states, versions)
+	known, gone := r.recur.Len()
+	n.log.Info("schedules", "known", known, "removed", gone)
+	return nil
+}
+
+// jobs answers the engine from the core. Owner goroutine.
+type jobs struct{ r *reign }
+
+func (j jobs) Running(id string) bool { return j.r.core.Active(id) }
+
+func (j jobs) Admit(job *wire.Job) error {
+	cat, ok := j.r.n.types()
+	if !ok {
+		return nil // it waits as any job does
+	}
+	return sched.Admit(j.r.n.set, cat, job)
+}
+
+// recurring decides what is due and has it stored, one batch at a time: as many
+// schedules as a transaction takes, two changes for each that runs. Owner goroutine.
+func (r *reign) recurring() {
+	if r.recur == nil || r.busyRecur {
+		return
+	}
+	most := max(1, min(r.n.set.Deployment.State.TxnOps/4, 8))
+	if ds := r.recur.Due(time.Now().UnixMicro(), most, jobs{r}); len(ds) > 0 {
+		r.busyRecur = true
+		go r.storeRuns(ds)
+	}
+}
+
+// storeRuns stores decisions together or, if that is refused, one by one. What the
+// service takes is shared with launches: a batch waits until its changes are no more
+// than an eighth of it.
+func (r *reign) storeRuns(ds []recur.Decision) {
+	n := r.n
+	changes := 0
+	for _, d := range ds {
+		changes += 1 + len(d.Jobs)
+	}
+	if _, version, err := r.storeDecisions(ds); err == nil {
+		n.post(func() { r.runsStored(ds, version) })
+	} else {
+		for _, d := range ds {
+			r.storeOne(d)
+		}
+	}
+	select {
+	case <-r.ctx.Done():
+	case <-time.After(time.Duration(float64(changes) * 8 / max(n.set.Deployment.State.WriteRPS, 1) * float64(time.Second))):
+	}
+	n.post(func() { r.busyRecur = false })
+}
+
+// storeDecisions runs one transaction: each schedule's state is what the decision
+// rests on, no job of the ids exists or ever did, and the term is this node's.
+func (r *reign) storeDecisions(ds []recur.Decision) (failed []string, version uint64, err error) {
+	n := r.n
+	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
+	for _, d := range ds {
+		key := scheduleKey(d.Name)
+		txn.If = append(txn.If, wire.Cond{Key: key, Version: d.Version})
+		if d.State == nil {
+			txn.Then = append(txn.Then, wire.Change{Delete: key})
+			continue
+		}
+		txn.Then = append(txn.Then, wire.Change{Put: key, Value: d.State})
+		for _, j := range d.Jobs {
+			txn.If = append(txn.If, wire.Cond{Key: jobKey(j.ID)}, wire.Cond{Key: endKey(j.ID)})
+			txn.Then = append(txn.Then, wire.Change{Put: jobKey(j.ID), Value: jobRecord{Job: j, Arrival: n.now()}})
+		}
+		if d.Cancel != "" {
+			txn.If = append(txn.If, wire.Cond{Key: endKey(d.Cancel)})
+			txn.Then = append(txn.Then, wire.Change{Put: endKey(d.Cancel), Value: endRecord{Status: wire.JobCancelled, At: n.now()}})
+		}
+	}
+	if len(txn.Then) > n.set.Deployment.State.TxnOps || len(txn.If) > 4*n.set.Deployment.State.TxnOps {
+		return nil, 0, errors.New("too much for one transaction")
+	}
+	a, err := n.state.Multi(r.ctx, txn)
+	return a.Failed, a.Revision, err
+}
+
+// runsStored tells the engine and the core. Owner goroutine.
+func (r *reign) runsStored(ds []recur.Decision, version uint64) {
+	n := r.n
+	if n.reign != r {
+		return
+	}
+	for _, d := range ds {
+		r.recur.Stored(d, version)
+		for _, j := range d.Jobs {
+			n.setKnown(j.ID)
+			r.core.AddJob(j, n.now(), n.now())
+			n.log.Info("scheduled run", "schedule", d.Name, "job", j.ID)
+			n.dirty = true
+		}
+		if d.State != nil && len(d.State.Runs) > 0 {
+			if last := d.State.Runs[len(d.State.Runs)-1]; last.Status != wire.RunSubmitted {
+				n.log.Info("schedule", "schedule", d.Name, "status", last.Status, "reason", last.Reason,
+					"at", time.UnixMicro(last.At).UTC().Format(time.RFC3339))
+			}
+		}
+	}
+}
+
+// storeOne stores a decision, or finds out why it is not stored. Without an answer it
+// may be applied even later, but only as long as the schedule's state is the same: so
+// what is read back is decided upon anew, and one of the two is refused.
+func (r *reign) storeOne(d recur.Decision) {
+	n := r.n
+	failed, version, err := r.storeDecisions([]recur.Decision{d})
+	if err == nil {
+		n.post(func() { r.runsStored([]recur.Decision{d}, version) })
+		return
+	}
+	taken := false // by a job that is not of this schedule
+	for _, j := range d.Jobs {
+		taken = taken || slices.Contains(failed, jobKey(j.ID)) || slices.Contains(failed, endKey(j.ID))
+	}
+	taken = taken && !slices.Contains(failed, scheduleKey(d.Name))
+	for r.ctx.Err() == nil {
+		e, found, err := n.state.Get(r.ctx, scheduleKey(d.Name))
+		var st recur.State
+		if err == nil && found {
+			err = wire.Unmarshal(e.Value, &st)
+		}
+		if err == nil {
+			if !found {
+				e.Version = 0
+			}
+			n.post(func() {
+				if n.reign == r {
+					r.recur.Again(d, st, e.Version, taken, time.Now().UnixMicro()+1_000_000)
+				}
+			})
+			return
+		}
+		select {
+		case <-r.ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"dalefront/internal/recur"
 	"dalefront/internal/sched"
 	"dalefront/internal/state"
 	"dalefront/wire"
@@ -35,8 +36,10 @@
 	busyEnds     bool
 	busyLearned  bool
 	busyCloud    bool
-	ends         []string // jobs whose end is to be stored
-	tidy         []string // keys to delete
+	busyRecur    bool
+	recur        *recur.Engine // nil without a calendar
+	ends         []string      // jobs whose end is to be stored
+	tidy         []string      // keys to delete
 	lastCloud    int64
 	lastLog      int64
 	lastListed   int64
@@ -287,7 +290,7 @@
 		}
 	}
 	r.core, r.revision = core, rev
-	return nil
+	return r.loadSchedules()
 }
 
 // endsOf reads the ends of those of the jobs that have ended. Which have is asked
@@ -496,6 +499,9 @@
 		r.busyTidy = true
 		go r.deleteKeys(keys)
 	}
+	if reachable {
+		r.recurring()
+	}
 	if !r.busyLearned && reachable && now-r.lastLearned >= learnEvery {
 		r.busyLearned, r.lastLearned = true, now
 		go r.storeLearned(r.core.Learned(now))
--- /dev/null
+++ b/internal/node/schedules.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"dalefront/internal/api"
+	"dalefront/internal/recur"
+	"dalefront/internal/state"
+	"dalefront/wire"
+)
+
+// schedulesPage is how many schedules one answer names, without their runs: some
+// 200 bytes each, well below the limit of an answer.
+const schedulesPage = 200
+
+// show makes what users see of a schedule.
+func (n *Node) showSchedule(name string, st *recur.State, runs bool) wire.Schedule {
+	out := wire.Schedule{Name: name, Revision: st.Revision, Paused: st.Paused, Gone: st.Gone > 0, Ran: st.Ran, Missed: st.Missed, Skipped: st.Skipped}
+	if runs {
+		out.Runs = st.Runs
+	}
+	if s := n.cal.Find(name); s != nil {
+		out.Zone = s.Location.String()
+		after := time.UnixMicro(st.Upto)
+		if st.Upto == 0 {
+			after = time.Now()
+		}
+		for range 400 { // beyond holidays and weekends
+			o, ok := s.Next(after)
+			if !ok {
+				break
+			}
+			if after = o.At; o.Skip == "" {
+				out.Next = o.At.Add(s.Delay(o.At)).UnixMicro()
+				break
+			}
+		}
+	}
+	return out
+}
+
+// Schedules implements api.Calendars: the stored ones, by name, after the one given.
+func (n *Node) Schedules(ctx context.Context, after string) (wire.Schedules, error) {
+	out := wire.Schedules{Schedules: []wire.Schedule{}}
+	if n.cal == nil {
+		return out, api.ErrUnknown
+	}
+	if after != "" {
+		after = scheduleKey(after)
+	}
+	page, err := n.state.Page(ctx, schedulePrefix, after, schedulesPage)
+	if err != nil {
+		return out, api.ErrNotNow
+	}
+	for _, e := range page.Items {
+		var st recur.State
+		if wire.Unmarshal(e.Value, &st) == nil {
+			out.Schedules = append(out.Schedules, n.showSchedule(strings.TrimPrefix(e.Key, schedulePrefix), &st, false))
+		}
+	}
+	out.More = page.More
+	return out, nil
+}
+
+// schedule reads the state of one.
+func (n *Node) schedule(ctx context.Context, name string) (st recur.State, version uint64, err error) {
+	if n.cal == nil || name == "" || len(name) > 64 || strings.ContainsAny(name, "/ ") {
+		return st, 0, api.ErrUnknown
+	}
+	e, found, err := n.state.Get(ctx, scheduleKey(name))
+	switch {
+	case err != nil:
+		return st, 0, api.ErrNotNow
+	case found:
+		return st, e.Version, wire.Unmarshal(e.Value, &st)
+	case n.cal.Find(name) != nil:
+		return st, 0, api.ErrNotNow // the overseer has yet to take it up
+	}
+	return st, 0, api.ErrUnknown
+}
+
+// Schedule implements api.Calendars.
+func (n *Node) Schedule(ctx context.Context, name string) (wire.Schedule, error) {
+	st, _, err := n.schedule(ctx, name)
+	if err != nil {
+		return wire.Schedule{}, err
+	}
+	return n.showSchedule(name, &st, true), nil
+}
+
+// PauseSchedule implements api.Calendars. Any node may: the change is conditional on
+// what was read, and the overseer's next decision, conditional on what it knows, is
+// refused and made anew.
+func (n *Node) PauseSchedule(ctx context.Context, name string, paused bool) (wire.Schedule, error) {
+	for range 5 {
+		st, version, err := n.schedule(ctx, name)
+		if err != nil {
+			return wire.Schedule{}, err
+		}
+		if st.Paused != paused {
+			st.Paused = paused
+			_, err = n.state.Multi(ctx, wire.Txn{
+				If:   []wire.Cond{{Key: scheduleKey(name), Version: version}},
+				Then: []wire.Change{{Put: scheduleKey(name), Value: st}},
+			})
+			if errors.Is(err, state.ErrConflict) || errors.Is(err, state.ErrUnknown) {
+				continue // read it back
+			}
+			if err != nil {
+				return wire.Schedule{}, api.ErrNotNow
+			}
+		}
+		return n.showSchedule(name, &st, true), nil
+	}
+	return wire.Schedule{}, api.ErrNotNow
+}
--- /dev/null
+++ b/internal/recur/recur_test.go
@@ -0,0 +1,391 @@
+package recur
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"dalefront/internal/calendar"
+	"dalefront/wire"
+)
+
+const jobText = `
+  job {
+    class      = "c"
+    team       = "t"
+    cpus       = 1
+    memory_gb  = 1
+    image      = "i"
+    image_gb   = 1
+    estimate_s = 60
+  }
+}
+`
+
+func file(t testing.TB, lines ...string) *calendar.Calendar {
+	t.Helper()
+	src := "calendar \"c\" {\n timezone = \"Europe/Tallinn\"\n weekdays = [\"mon\", \"tue\", \"wed\", \"thu\", \"fri\", \"sat\"]\n holiday \"h\" { date = \"02-24\" }\n}\n"
+	for i, l := range lines {
+		src += fmt.Sprintf("schedule \"s%d\" {\n calendar = \"c\"\n %s\n%s", i, l, jobText)
+	}
+	c, err := calendar.Parse("test.hcl", []byte(src))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// fakeJobs says whether a job runs; nil: none does.
+type fakeJobs func(id string) bool
+
+func (f fakeJobs) Running(id string) bool { return f != nil && f(id) }
+func (f fakeJobs) Admit(*wire.Job) error  { return nil }
+
+// store is what the state service holds, and all that ever happened to it.
+type store struct {
+	state    map[string]State
+	version  map[string]uint64
+	revision uint64
+	jobs     map[string]bool // that were ever accepted
+	running  map[string]bool
+	log      map[string][]wire.ScheduleRun // every run and miss, by schedule
+}
+
+func newStore() *store {
+	return &store{map[string]State{}, map[string]uint64{}, 0, map[string]bool{}, map[string]bool{}, map[string][]wire.ScheduleRun{}}
+}
+
+// apply runs a decision's transaction. taken says that a job's id is somebody's.
+func (s *store) apply(t testing.TB, d Decision) (ok, taken bool) {
+	if s.version[d.Name] != d.Version {
+		return false, false
+	}
+	for _, j := range d.Jobs {
+		if s.jobs[j.ID] {
+			return false, true
+		}
+	}
+	if d.Cancel != "" && !s.running[d.Cancel] {
+		return false, false
+	}
+	s.revision++
+	delete(s.running, d.Cancel)
+	if d.State == nil {
+		delete(s.state, d.Name)
+		delete(s.version, d.Name)
+		return true, false
+	}
+	for _, j := range d.Jobs {
+		s.jobs[j.ID], s.running[j.ID] = true, true
+	}
+	// What the history gained since the last version.
+	old := s.state[d.Name].Runs
+	for _, r := range d.State.Runs {
+		known := false
+		for _, o := range old {
+			known = known || o == r
+		}
+		if !known {
+			s.log[d.Name] = append(s.log[d.Name], r)
+		}
+	}
+	s.state[d.Name], s.version[d.Name] = *d.State, s.revision
+	return true, false
+}
+
+func (s *store) engine(c *calendar.Calendar) *Engine {
+	st, v := map[string]State{}, map[string]uint64{}
+	for n := range s.state {
+		st[n], v[n] = s.state[n], s.version[n]
+	}
+	return New(c, st, v)
+}
+
+// year plays some months and returns the runs and misses of each schedule. With
+// troubles the overseer is taken over between decision and storing, transactions are
+// lost, applied unseen or late, the state service is away for hours, clocks differ, and
+// an earlier overseer goes on with what it knew.
+func year(t *testing.T, c *calendar.Calendar, seed uint64, troubles bool, days int) *store {
+	r := rand.New(rand.NewPCG(seed, 3))
+	s := newStore()
+	now := time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC).UnixMicro()
+	end := now + Micros(days)*86400*second
+	e := s.engine(c)
+	var stale *Engine
+	var late []Decision
+	running := fakeJobs(func(id string) bool { return s.running[id] })
+	for now < end {
+		now += Micros(20+r.IntN(40)) * second / 4
+		for id := range s.running {
+			if r.IntN(40) == 0 {
+				delete(s.running, id)
+			}
+		}
+		clock := now
+		if troubles {
+			clock += Micros(r.IntN(500_001) - 250_000) // each controller's own
+			switch x := r.IntN(20_000); {
+			case x < 3: // the state service is away, over due times
+				now += Micros(r.IntN(5*3600)) * second
+			case x < 10:
+				stale, e = e, s.engine(c)
+			case x < 16 && len(late) > 0:
+				s.apply(t, late[0])
+				late = late[1:]
+			}
+		}
+		for _, d := range e.Due(clock, 4, running) {
+			if troubles && r.IntN(12) == 0 {
+				late = append(late, d) // no answer; it may be applied much later
+				e.Again(d, s.state[d.Name], s.version[d.Name], false, clock+second)
+				continue
+			}
+			if troubles && r.IntN(12) == 0 {
+				s.apply(t, d) // applied, but the answer is lost
+				e.Again(d, s.state[d.Name], s.version[d.Name], false, clock+second)
+				continue
+			}
+			if troubles && r.IntN(25) == 0 {
+				e = s.engine(c) // taken over before it was stored
+				break
+			}
+			if ok, taken := s.apply(t, d); ok {
+				e.Stored(d, s.version[d.Name])
+			} else {
+				e.Again(d, s.state[d.Name], s.version[d.Name], taken, clock+second)
+			}
+		}
+		if stale != nil && r.IntN(50) == 0 {
+			for _, d := range stale.Due(clock, 4, running) {
+				s.apply(t, d) // refused by the version, if anything was decided since
+			}
+			stale = nil
+		}
+	}
+	return s
+}
+
+// A year with crashes, takeovers and outages has the same occurrences as one without:
+// each has one run or one recorded miss, never two, never none.
+func TestYearWithTroubles(t *testing.T) {
+	c := file(t, "cron = \"15 3 * * *\"", "cron = \"*/30 * * * *\"\n overlap = \"allow\"", "cron = \"0 6 * * mon\"\n missed = \"skip\"",
+		"cron = \"0 */4 * * *\"\n missed = \"run_all\"\n overlap = \"allow\"\n latest_start_s = 7200", "cron = \"10 * * * *\"\n overlap = \"replace\"\n jitter_s = 600")
+	for _, s := range c.Schedules {
+		s.KeepRuns = 100
+	}
+	missed, ran := 0, 0
+	for seed := uint64(1); seed <= 3; seed++ {
+		calm, rough := year(t, c, seed, false, 120), year(t, c, seed, true, 120)
+		for _, s := range c.Schedules {
+			want := map[Micros]bool{}
+			from, upto := min(calm.log[s.Name][0].At, rough.log[s.Name][0].At), rough.state[s.Name].Upto
+			for o, ok := s.Next(time.UnixMicro(from - 1)); ok && o.At.UnixMicro() <= upto; o, ok = s.Next(o.At) {
+				if o.Skip == "" {
+					want[o.At.UnixMicro()] = true
+				}
+			}
+			got := map[Micros]int{}
+			jobs := map[string]bool{}
+			for _, r := range rough.log[s.Name] {
+				if r.Status == wire.RunNoted {
+					t.Fatalf("seed %d, %s: %s", seed, s.Name, r.Reason)
+				}
+				got[r.At]++
+				if r.Status == wire.RunMissed {
+					missed++
+				} else if ran++; jobs[r.Job] {
+					t.Errorf("seed %d, %s: job %s twice", seed, s.Name, r.Job)
+				}
+				jobs[r.Job] = r.Job != ""
+			}
+			for at, n := range got {
+				if n != 1 || !want[at] {
+					t.Errorf("seed %d, %s: %d entries for %s, expected %v", seed, s.Name, n, time.UnixMicro(at).UTC(), want[at])
+				}
+			}
+			for at := range want {
+				if got[at] == 0 {
+					t.Errorf("seed %d, %s: nothing for %s", seed, s.Name, time.UnixMicro(at).UTC())
+				}
+			}
+		}
+	}
+	if missed < 20 || ran < 5000 {
+		t.Errorf("%d missed, %d ran: too little to show anything", missed, ran)
+	}
+}
+
+// down lets an engine see nothing for so long and returns what it then decides of the
+// one schedule.
+func down(t *testing.T, line string, running bool, hours int) ([]wire.ScheduleRun, *store) {
+	t.Helper()
+	c, s := file(t, line), newStore()
+	now := time.Date(2026, 1, 6, 0, 10, 0, 0, time.UTC).UnixMicro()
+	e := s.engine(c)
+	step := func() {
+		for range 8 {
+			for _, d := range e.Due(now, 4, fakeJobs(func(id string) bool { return running && s.running[id] })) {
+				if ok, taken := s.apply(t, d); ok {
+					e.Stored(d, s.version[d.Name])
+				} else {
+					e.Again(d, s.state[d.Name], s.version[d.Name], taken, now)
+				}
+			}
+		}
+	}
+	step()
+	now += 3600 * second
+	step()
+	before := len(s.log["s0"])
+	now += Micros(hours) * 3600 * second
+	step()
+	return s.log["s0"][before:], s
+}
+
+// What happens to runs that were missed, by policy, over five hours of an hourly job.
+func TestMissedRuns(t *testing.T) {
+	for _, c := range []struct {
+		line         string
+		running      bool
+		ran, missed  int
+		last, reason string
+	}{
+		{"cron = \"0 * * * *\"\n overlap = \"allow\"\n missed = \"skip\"", false, 0, 5, wire.RunMissed, "skipped"},
+		{"cron = \"0 * * * *\"\n overlap = \"allow\"\n missed = \"run_once\"", false, 1, 4, wire.RunSubmitted, ""},
+		{"cron = \"0 * * * *\"\n overlap = \"allow\"\n missed = \"run_all\"\n latest_start_s = 100000", false, 5, 0, wire.RunSubmitted, ""},
+		{"cron = \"0 * * * *\"\n overlap = \"allow\"\n missed = \"run_all\"\n latest_start_s = 100000\n missed_bound = 2", false, 2, 3, wire.RunSubmitted, ""},
+		{"cron = \"0 * * * *\"\n overlap = \"allow\"\n missed = \"run_all\"\n latest_start_s = 9000", false, 3, 2, wire.RunSubmitted, ""},
+		{"cron = \"0 * * * *\"\n overlap = \"allow\"\n latest_start_s = 20", false, 0, 5, wire.RunMissed, "latest_start_s"},
+		{"cron = \"0 * * * *\"\n overlap = \"forbid\"", true, 0, 5, wire.RunMissed, "has not ended"},
+		{"cron = \"0 * * * *\"\n overlap = \"replace\"", true, 1, 4, wire.RunSubmitted, ""},
+	} {
+		runs, s := down(t, c.line, c.running, 5)
+		ran, missed := 0, 0
+		for _, r := range runs {
+			if r.Status == wire.RunMissed {
+				missed++
+			} else {
+				ran++
+			}
+		}
+		if ran != c.ran || missed != c.missed {
+			t.Errorf("%s: %d ran and %d missed, want %d and %d", c.line, ran, missed, c.ran, c.missed)
+			continue
+		}
+		last := runs[len(runs)-1]
+		if last.Status != c.last || (c.reason != "" && !strings.Contains(last.Reason, c.reason)) {
+			t.Errorf("%s: the last is %+v", c.line, last)
+		}
+		if c.running && c.ran == 1 && len(s.running) != 1 {
+			t.Errorf("%s: %d jobs run", c.line, len(s.running))
+		}
+	}
+}
+
+// Catching up with runs that must not overlap goes one after the other.
+func TestCatchUpInTurn(t *testing.T) {
+	runs, s := down(t, "cron = \"0 * * * *\"\n missed = \"run_all\"\n latest_start_s = 100000", true, 3)
+	if len(runs) != 0 || len(s.running) != 1 {
+		t.Errorf("%d decided while the last run goes on, %d run", len(runs), len(s.running))
+	}
+}
+
+// A paused schedule misses its runs, visibly; a changed or removed one says so, and runs
+// nothing for the time before.
+func TestPauseChangeRemove(t *testing.T) {
+	s := newStore()
+	now := time.Date(2026, 1, 6, 0, 0, 30, 0, time.UTC).UnixMicro()
+	step := func(c *calendar.Calendar, hours int) *Engine {
+		e := s.engine(c)
+		for range hours * 4 {
+			now += 900 * second
+			for _, d := range e.Due(now, 9, fakeJobs(nil)) {
+				if ok, _ := s.apply(t, d); ok {
+					e.Stored(d, s.version[d.Name])
+				}
+			}
+		}
+		return e
+	}
+	last := func() wire.ScheduleRun { l := s.log["s0"]; return l[len(l)-1] }
+	hourly := file(t, "cron = \"0 * * * *\"")
+	step(hourly, 3)
+	if last().Status != wire.RunSubmitted {
+		t.Fatalf("%+v", last())
+	}
+	st := s.state["s0"]
+	st.Paused = true
+	s.revision++
+	s.state["s0"], s.version["s0"] = st, s.revision
+	step(hourly, 2)
+	if r := last(); r.Status != wire.RunMissed || r.Reason != "paused" {
+		t.Errorf("paused: %+v", r)
+	}
+	st = s.state["s0"]
+	st.Paused = false
+	s.revision++
+	s.state["s0"], s.version["s0"] = st, s.revision
+	now += 10 * 3600 * second
+	ran := s.state["s0"].Ran
+	step(file(t, "cron = \"*/20 * * * *\""), 1)
+	if got := s.state["s0"].Ran - ran; got > 4 || got == 0 {
+		t.Errorf("%d runs in the hour after a change, within ten hours of nothing", got)
+	}
+	e := step(file(t), 1)
+	if s.state["s0"].Gone == 0 || last().Status != wire.RunNoted {
+		t.Errorf("removed: %+v, %+v", s.state["s0"], last())
+	}
+	if n, gone := e.Len(); n != 0 || gone != 1 {
+		t.Errorf("%d schedules, %d gone", n, gone)
+	}
+	now += 31 * 86400 * second
+	step(file(t), 1)
+	if len(s.state) != 0 {
+		t.Error("the history of a removed schedule stays for ever")
+	}
+}
+
+// A user's job that happens to have the derived id is found, and another id is taken.
+func TestIdTaken(t *testing.T) {
+	c, s := file(t, "cron = \"0 * * * *\""), newStore()
+	x := &entry{s: c.Schedules[0], name: "s0"}
+	now := time.Date(2026, 1, 6, 0, 0, 30, 0, time.UTC)
+	o, _ := x.s.Next(now)
+	s.jobs[x.id(o, 0)] = true
+	e := s.engine(c)
+	at := now.UnixMicro()
+	for range 400 {
+		at += 30 * second
+		for _, d := range e.Due(at, 1, fakeJobs(nil)) {
+			if ok, taken := s.apply(t, d); ok {
+				e.Stored(d, s.version[d.Name])
+			} else {
+				e.Again(d, s.state[d.Name], s.version[d.Name], taken, at)
+			}
+		}
+	}
+	if r := s.log["s0"][0]; r.Job != x.id(o, 1) || !wire.ValidID(r.Job) {
+		t.Errorf("%+v, want %s", r, x.id(o, 1))
+	}
+}
+
+// BenchmarkTick is one look at 10,000 daily schedules of which none is due.
+func BenchmarkTick(b *testing.B) {
+	var lines []string
+	for i := range 10_000 {
+		lines = append(lines, fmt.Sprintf("cron = \"%d %d * * *\"", i%60, i/60%24))
+	}
+	c, s := file(b, lines...), newStore()
+	now := time.Date(2026, 1, 6, 0, 0, 30, 0, time.UTC).UnixMicro()
+	e := s.engine(c)
+	for _, d := range e.Due(now, 20_000, fakeJobs(nil)) {
+		s.apply(b, d)
+		e.Stored(d, s.version[d.Name])
+	}
+	b.ResetTimer()
+	for b.Loop() {
+		e.Due(now, 4, fakeJobs(nil))
+	}
+}
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -286,6 +286,12 @@
 	}
 }
 
+// Active says whether the core knows a job that has not ended.
+func (c *Core) Active(id string) bool {
+	j := c.jobs[id]
+	return j != nil && j.ended == ""
+}
+
 // Counts returns a job's display counts and whether the core knows the job.
 func (c *Core) Counts(id string) (status string, done, running int, ok bool) {
 	j := c.jobs[id]
--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -10,12 +10,16 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"dalefront/internal/calendar"
 	"dalefront/internal/config"
 	"dalefront/internal/node"
+	"dalefront/internal/recur"
 	"dalefront/wire"
 )
 
@@ -53,9 +57,10 @@
 	seq   uint64
 }
 
-func newCluster(t *testing.T, size int) *cluster {
+func newCluster(t *testing.T, size int, set func(*config.Settings)) *cluster {
 	t.Helper()
 	c := &cluster{t: t, svc: NewServices(world(t, 1).Catalog), tasks: map[string]wire.TaskReport{}}
+	change := set
 	srv := httptest.NewServer(c.svc)
 	t.Cleanup(srv.Close)
 	addr := strings.TrimPrefix(srv.URL, "http://")
@@ -76,6 +81,7 @@
 				set.Members = append(set.Members, config.Member{Label: fmt.Sprint("node-", k), Addr: mesh[k]})
 			}
 		}
+		change(set)
 		n, err := node.New(set, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		if err != nil {
 			t.Fatal(err)
@@ -168,7 +174,7 @@
 }
 
 func testNodes(t *testing.T, size int) {
-	c := newCluster(t, size)
+	c := newCluster(t, size, func(*config.Settings) {})
 	var st wire.JobStatus
 	for i := range c.addrs {
 		c.until("healthy", func() bool { code, _ := c.ask(i, http.MethodGet, wire.PathHealth, nil, nil); return code == 200 })
@@ -267,3 +273,74 @@
 		t.Errorf("a cancelled job is shown as %d %s", code, st.Status)
 	}
 }
+
+// TestSchedules runs three nodes with a schedule that missed its run an hour ago: it
+// runs once, whoever asks, although answers of the state service are lost and the
+// overseer ends; any node shows, pauses and resumes it.
+func TestSchedules(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "calendar.hcl")
+	if err := os.WriteFile(file, []byte(`
+calendar "c" { timezone = "UTC" }
+schedule "yearly" {
+  calendar       = "c"
+  cron           = "0 0 1 1 *"
+  latest_start_s = 31600000
+  job {
+    class      = "c"
+    team       = "red"
+    priority   = "low"
+    cpus       = 1
+    memory_gb  = 1
+    image      = "i"
+    image_gb   = 1
+    estimate_s = 1
+  }
+}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cal, err := calendar.Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newCluster(t, 3, func(s *config.Settings) { s.Operator.Calendar = file })
+	// As if the site had been down over the last New Year.
+	c.svc.Set("s/yearly", recur.State{Revision: cal.Schedules[0].Revision, Upto: time.Now().AddDate(-1, 0, 0).UnixMicro()})
+	c.svc.Mute(3)
+	var s wire.Schedule
+	get := func(i int) int {
+		s = wire.Schedule{}
+		code, _ := c.ask(i, http.MethodGet, wire.PathSchedules+"/yearly", nil, &s)
+		return code
+	}
+	c.until("it has run", func() bool { return get(0) == 200 && s.Ran > 0 })
+	job := s.Runs[len(s.Runs)-1].Job
+	var st wire.JobStatus
+	c.until("its job is known", func() bool {
+		code, _ := c.ask(1, http.MethodGet, wire.PathJobs+"/"+job, nil, &st)
+		return code == 200
+	})
+	c.until("its task runs", func() bool { c.report(1); return len(c.tasks) == 1 })
+	var all wire.Schedules
+	if code, _ := c.ask(2, http.MethodGet, wire.PathSchedules, nil, &all); code != 200 || len(all.Schedules) != 1 || all.Schedules[0].Next == 0 {
+		t.Errorf("listed as %+v", all)
+	}
+	c.until("it is paused", func() bool {
+		code, _ := c.ask(1, http.MethodPost, wire.PathSchedules+"/yearly/"+wire.PauseVerb, nil, &s)
+		return code == 200 && s.Paused
+	})
+	before := c.token
+	c.stop[0]()
+	c.stop[1]()
+	c.addrs = c.addrs[2:]
+	c.until("it is resumed after two nodes ended", func() bool {
+		code, _ := c.ask(0, http.MethodPost, wire.PathSchedules+"/yearly/"+wire.ResumeVerb, nil, &s)
+		return code == 200 && !s.Paused
+	})
+	c.until("the last node serves", func() bool { return c.report(0) == 200 && c.token >= before })
+	if code := get(0); code != 200 || s.Ran != 1 || len(c.tasks) != 1 {
+		t.Errorf("%d: ran %d times, %d tasks", code, s.Ran, len(c.tasks))
+	}
+	if code, _ := c.ask(0, http.MethodGet, wire.PathSchedules+"/none", nil, nil); code != 404 {
+		t.Errorf("a schedule that is not there got %d", code)
+	}
+}
--- a/internal/sim/services.go
+++ b/internal/sim/services.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// Set stores a key, as some earlier node would have.
+func (s *Services) Set(key string, v any) {
+	b, _ := wire.Marshal(v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.keys[key] = wire.Entry{Key: key, Value: b, Version: s.revision}
+}
+
 // Mute executes the next n transactions without answering them.
 func (s *Services) Mute(n int) {
 	s.mu.Lock()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -133,12 +133,8 @@
 	var first uint64
 	from := ""
 	for {
-		q := url.Values{"Starts": {prefix}, "Page": {"1000"}}
-		if from != "" {
-			q.Set("From", from)
-		}
-		var page wire.Entries
-		if err := c.call(ctx, http.MethodGet, "/kv?"+q.Encode(), nil, &page); err != nil {
+		page, err := c.Page(ctx, prefix, from, 1000)
+		if err != nil {
 			return nil, 0, err
 		}
 		if first == 0 {
@@ -152,6 +148,17 @@
 	}
 }
 
+// Page reads up to most keys with a prefix, of at most 1000, after the one given.
+func (c *Client) Page(ctx context.Context, prefix, after string, most int) (wire.Entries, error) {
+	q := url.Values{"Starts": {prefix}, "Page": {fmt.Sprint(most)}}
+	if after != "" {
+		q.Set("From", after)
+	}
+	var page wire.Entries
+	err := c.call(ctx, http.MethodGet, "/kv?"+q.Encode(), nil, &page)
+	return page, err
+}
+
 // Multi runs a transaction. On ErrConflict the answer names the failed keys.
 func (c *Client) Multi(ctx context.Context, txn wire.Txn) (wire.TxnAnswer, error) {
 	var a wire.TxnAnswer
