--- a/internal/domain/domain.go
+++ b/internal/domain/domain.go
@@ -59,7 +59,6 @@
 	Zone    string // of the observer
 	Began   Micros // when it began to observe: what nobody knows of counts from then
 	Report  Micros // interval of workers' reports
-	Lease   Micros // of workers
 	ListLag Micros // of the cloud's list
 }
 
@@ -120,6 +119,9 @@
 	died, back  float64 // silent machines that turned out dead, and that came back
 }
 
+// Silence is how long a machine has to be unheard before it counts as silent.
+func (d *Detector) Silence() Micros { return d.p.Silence() }
+
 // New returns a detector for a deployment.
 func New(p Params) *Detector { return &Detector{p: p, zones: map[string]*zone{}} }
 
--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -23,7 +23,7 @@
 const began = 1000 * second
 
 func params() Params {
-	return Params{Zone: "a", Began: began, Report: 4 * second, Lease: 22 * second, ListLag: 4 * second}
+	return Params{Zone: "a", Began: began, Report: 4 * second, ListLag: 4 * second}
 }
 
 // site is ten machines in each of three zones, one controller in a and b, none in c.
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -441,7 +441,7 @@
 		told:       map[string]Micros{},
 	}
 	c.domains = domain.New(domain.Params{Zone: set.Zone, Began: now, Report: config.Micro(set.Deployment.Workers.ReportS),
-		Lease: c.lease, ListLag: config.Micro(set.Deployment.Cloud.ListLagS)})
+		ListLag: config.Micro(set.Deployment.Cloud.ListLagS)})
 	for _, t := range set.Deployment.Teams {
 		c.teams[t.Name] = &team{Team: t}
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -523,7 +523,7 @@
 
 // tend looks after machines and tasks as time passes.
 func (c *Core) tend() {
-	expiry, silence := c.expiry(), c.silence()
+	expiry, silence := c.expiry(), c.domains.Silence()
 	pushes := 0
 	for _, m := range c.order {
 		if m.up && !m.confirmed && !m.lost && !m.returning && m.addr != "" && m.session > 0 && pushes < 16 &&
--- a/internal/sched/silence.go
+++ b/internal/sched/silence.go
@@ -22,9 +22,6 @@
 
 const mostTold = 100_000
 
-// silence is how long a machine has to be unheard to count as silent.
-func (c *Core) silence() Micros { return config.Micro(c.set.Deployment.Workers.ReportS)*5/4 + 6*second }
-
 // observed is what the detector is told of a machine. Another controller may know
 // when it was last heard before its first report in this term.
 func (c *Core) observed(m *machine) domain.Machine {
--- a/internal/sched/silence_test.go
+++ b/internal/sched/silence_test.go
@@ -20,7 +20,7 @@
 		if sent {
 			b.report("n-1", "s", "x", 1)
 		}
-		b.now += b.silence() + second
+		b.now += b.domains.Silence() + second
 		b.report("n-2", "s", "x", 1)
 		b.schedule()
 		if got := b.machines["n-2"].n == 1; got == sent {
