Lock what handlers and the overseer share of a calendar; read peers and store side by side

Found on reading the change again. The years of holidays were a map that requests and the overseer filled at the same time, which ends the process; now behind a short lock, with a test. Finding a schedule went over all of them, for each one read. A takeover waited for peers that are gone, up to 0.4 s, before it went on reading the store.

--- a/internal/calendar/calendar_test.go
+++ b/internal/calendar/calendar_test.go
@@ -354,3 +354,26 @@
 		})
 	}
 }
+
+// The overseer and handlers of requests ask one file at the same time; the years that
+// are worked out on the way were once shared without a lock.
+func TestAskedAtOnce(t *testing.T) {
+	c := parse(t, "calendar \"c\" {\n timezone = \"UTC\"\n holiday \"h\" { date = \"01-02\" }\n}\nschedule \"s\" {\n calendar = \"c\"\n cron = \"0 0 2 1 *\"\n"+job+"}")
+	done := make(chan int)
+	for range 8 {
+		go func() {
+			skipped := 0
+			for o, ok := c.Find("s").Next(utc("1950-01-01T00:00:00Z")); ok && o.At.Year() < 2050; o, ok = c.Find("s").Next(o.At) {
+				if o.Skip != "" {
+					skipped++
+				}
+			}
+			done <- skipped
+		}()
+	}
+	for range 8 {
+		if n := <-done; n != 100 {
+			t.Errorf("%d of 100 holidays", n)
+		}
+	}
+}
--- a/internal/calendar/file.go
+++ b/internal/calendar/file.go
@@ -113,7 +113,7 @@
 	for _, a := range body.Attributes {
 		return nil, at(a.SrcRange, "%q does not belong here: a file holds calendar and schedule blocks", a.Name)
 	}
-	r := &reader{calendars: map[string]*days{}}
+	r := &reader{calendars: map[string]*days{}, named: map[string]bool{}}
 	for _, kind := range []string{"calendar", "schedule"} { // a schedule may come before its calendar
 		for _, b := range body.Blocks {
 			if b.Type != "calendar" && b.Type != "schedule" {
@@ -185,6 +185,7 @@
 
 type reader struct {
 	calendars map[string]*days
+	named     map[string]bool // schedules
 	out       Calendar
 }
 
@@ -230,7 +231,7 @@
 
 func (r *reader) schedule(b *hclsyntax.Block, src []byte) error {
 	name := b.Labels[0]
-	if r.out.Find(name) != nil {
+	if r.named[name] {
 		return at(b.DefRange(), "schedule %q is there twice", name)
 	}
 	if len(r.out.Schedules) == mostSchedules {
@@ -302,6 +303,7 @@
 	_, _ = sum.Write(b.Range().SliceBytes(src))
 	_, _ = sum.Write([]byte(d.text))
 	s.Revision = hex.EncodeToString(sum.Sum(nil)[:8])
+	r.named[name] = true
 	r.out.Schedules = append(r.out.Schedules, s)
 	return nil
 }
--- a/internal/calendar/holiday.go
+++ b/internal/calendar/holiday.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rickar/cal/v2"
@@ -40,10 +41,13 @@
 }
 
 // holidays answers for a date whether it is a public holiday, and which. Each year is
-// worked out once.
+// worked out once. Handlers of requests and the overseer ask at the same time: what is
+// worked out is behind a short lock.
 type holidays struct {
 	rules []*cal.Holiday
 	dates map[string]string // listed ones, by date
+
+	mu    sync.Mutex
 	years map[int]map[string]string
 }
 
@@ -56,6 +60,8 @@
 	if name := h.dates[dateKey(y, m, d)]; name != "" {
 		return name
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	year, ok := h.years[y]
 	if !ok {
 		year = map[string]string{}
--- a/internal/calendar/schedule.go
+++ b/internal/calendar/schedule.go
@@ -5,6 +5,7 @@
 
 import (
 	"hash/fnv"
+	"sort"
 	"time"
 
 	"dalefront/wire"
@@ -121,10 +122,9 @@
 
 // Find returns a schedule by its name, or nil.
 func (c *Calendar) Find(name string) *Schedule {
-	for _, s := range c.Schedules {
-		if s.Name == name {
-			return s
-		}
+	i := sort.Search(len(c.Schedules), func(k int) bool { return c.Schedules[k].Name >= name })
+	if i < len(c.Schedules) && c.Schedules[i].Name == name {
+		return c.Schedules[i]
 	}
 	return nil
 }
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -8,7 +8,6 @@
 	"dalefront/internal/config"
 	"dalefront/internal/domain"
 	"dalefront/internal/peer"
-	"dalefront/internal/sched"
 )
 
 // heardFor is how long it is remembered that a worker was heard.
@@ -45,32 +44,33 @@
 	return out
 }
 
-// tell brings the new overseer's core what this node and its peers have heard. Peers
-// that don't answer at once are left out: it is evidence, and proves nothing.
-func (r *reign) tell(core *sched.Core) {
-	n := r.n
+// gatherHeard is when this node and its peers last heard which worker. Peers that don't
+// answer at once are left out: it is evidence, and proves nothing.
+func (n *Node) gatherHeard(ctx context.Context) map[string]config.Micros {
+	at := map[string]config.Micros{}
 	var mu sync.Mutex
-	tell := func(hs []peer.Heard) {
+	take := func(hs []peer.Heard) {
 		mu.Lock()
 		defer mu.Unlock()
 		for _, h := range hs {
-			core.Told(h.Host, n.now()-max(0, h.Ago))
+			at[h.Host] = max(at[h.Host], n.now()-max(0, h.Ago))
 		}
 	}
-	tell(n.heardWorkers())
+	take(n.heardWorkers())
+	ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+	defer cancel()
 	var all sync.WaitGroup
 	for _, p := range n.peers {
 		all.Go(func() {
-			ctx, cancel := context.WithTimeout(r.ctx, 400*time.Millisecond)
-			defer cancel()
 			h := n.hello()
 			h.Ask = true
 			if a, err := p.Hello(ctx, h); err == nil {
-				tell(a.Heard)
+				take(a.Heard)
 			}
 		})
 	}
 	all.Wait()
+	return at
 }
 
 // controllers is what this node knows of the others, for the detector.
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -223,6 +223,9 @@
 	cat, _ := n.types()
 	now := n.now()
 	core := sched.New(n.set, r.token, now, cat, func(msg string, args ...any) { n.log.Info(msg, args...) })
+	// A peer that is gone costs its time limit: the store is read meanwhile.
+	heard := make(chan map[string]int64, 1)
+	go func() { heard <- n.gatherHeard(r.ctx) }()
 	jobs, rev, err := n.state.List(r.ctx, jobPrefix)
 	if err != nil {
 		return err
@@ -262,7 +265,9 @@
 		ledger[strings.TrimPrefix(e.Key, ledgerPrefix)] = entry
 	}
 	core.Load(ledger)
-	r.tell(core)
+	for host, at := range <-heard {
+		core.Told(host, at)
+	}
 	if e, found, err := n.state.Get(r.ctx, learnedKey); err != nil {
 		return err
 	} else if found {
