Renew leases and confirm cancellations by one rule that no failure of two kinds breaks

Cause: cancelled ids passed on with the hello a second later and at most 256 of them; a renewer without the state service went on for minutes, so that a confirmation which nobody alive had heard of could be outlived by its tasks. Change: internal/horizon. A user is told of a cancellation when every controller holds it, its record is gone (all tasks proven gone), or cancel_wait_s has passed; leases are renewed only by who has forgotten nothing, within cancel_wait_s plus what cancel_s leaves after a lease since the ends were read, or while all controllers answer. Every renewal stops what is known. Progress is stored on condition of the chunk's version: a late copy took it back.

--- a/internal/node/archive.go
+++ b/internal/node/archive.go
@@ -81,7 +81,7 @@
 	case err != nil:
 		return verdict{err: err}
 	case a.Found:
-		return verdict{accepted: true, ended: true, st: n.archived(a.Record)}
+		return verdict{accepted: true, ended: true, archived: true, st: n.archived(a.Record)}
 	case l.known: // it can't be: an accepted job leaves something
 		return verdict{err: api.ErrNotNow}
 	}
--- a/internal/node/hello.go
+++ b/internal/node/hello.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"dalefront/internal/config"
 	"dalefront/internal/peer"
 	"dalefront/wire"
 )
@@ -12,7 +11,10 @@
 // greet exchanges what is known about the term with a peer.
 func (n *Node) greet(ctx context.Context, label string, p *peer.Client) {
 	for {
-		a, err := p.Hello(ctx, n.hello())
+		asked := n.now()
+		h := n.hello()
+		h.Cancelled = n.book.For(label, asked)
+		a, err := p.Hello(ctx, h)
 		if err == nil {
 			n.mu.Lock()
 			n.peerAt[label] = time.Now()
@@ -20,11 +22,16 @@
 			n.meets(label, a)
 			n.counted(a.Ends)
 			n.inherits(a)
+			if a.Cancelled != nil {
+				n.heardCancelled(n.book.Answered(label, n.born, a.Born, a.Cancelled, asked, n.now()))
+			}
 		}
+		rest(ctx, tellEvery)
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(time.Second):
+		case <-n.kicks[label]:
+		case <-time.After(time.Second - tellEvery):
 		}
 	}
 }
@@ -32,19 +39,6 @@
 // acting is the process that said hello as overseer, and under which token.
 type acting struct{ token, process uint64 }
 
-// grant is the overseer's word, renewed with every hello, that this node may
-// renew leases under its token while neither the overseer nor the state service
-// is in reach. It carries no commands but stops of cancelled tasks, and nothing is ever freed
-// because time has passed, so a grant that outlives its overseer starts nothing twice.
-type grant struct {
-	token uint64
-	at    time.Time
-}
-
-// grantTime outlasts the cuts that a zone's work is worth waiting for; the overseer
-// outside decides how long that is and returns the machines when it is over.
-const grantTime = 10 * time.Minute
-
 // meets takes a hello of a peer, or the answer to one, and is how often that peer was
 // started anew lately.
 func (n *Node) meets(label string, h *peer.Hello) int {
@@ -55,9 +49,6 @@
 
 // heard takes what a peer's hello says of the term and of others.
 func (n *Node) heard(h *peer.Hello) {
-	if len(h.Cancelled) <= mostCancelled {
-		n.noteCancelled(h.Cancelled...)
-	}
 	if h.Token == 0 {
 		return
 	}
@@ -68,35 +59,34 @@
 	if h.Unfit && n.peers[h.From] != nil {
 		n.unfitAt[h.From] = time.Now()
 	}
-	if h.From == h.Leader && h.Token >= n.grant.token {
-		n.grant = grant{h.Token, time.Now()}
+	if h.From == h.Leader {
+		n.grant = max(n.grant, h.Token)
 	}
 	if h.Acts && h.From == h.Leader && h.Token >= n.acting.token {
 		n.acting = acting{h.Token, h.Born}
 	}
 }
 
-// inherits takes a grant at second hand, as old as it is: a node that was started within
-// an outage has it from those that live on. Only an answer brings it, which can't be held
-// back for long, and only one for a higher token than this node's: handed to and fro it
-// would grow younger.
+// inherits takes a grant at second hand: a node that was started within an outage has it
+// from those that live on.
 func (n *Node) inherits(h *peer.Hello) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if h.Grant > n.grant.token && h.Since >= 0 {
-		n.grant = grant{h.Grant, time.Now().Add(-time.Duration(h.Since) * time.Microsecond)}
-	}
+	n.grant = max(n.grant, h.Grant)
 }
 
-// mayRenew says whether this node may renew the worker's lease by itself.
+// mayRenew says whether this node may renew the worker's lease by itself: under the
+// overseer's grant, which is its token in a hello, while neither the overseer nor the state
+// service is in reach. It carries no commands but stops of cancelled tasks, and nothing is
+// ever freed because time has passed, so a grant that outlives its overseer starts nothing
+// twice. For how long is internal/horizon's to say.
 func (n *Node) mayRenew(r *wire.Report) (uint64, bool) {
 	if n.state.Reachable(3 * time.Second) {
 		return 0, false // then another overseer can be found
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	g := n.grant
-	return g.token, g.token > 0 && g.token == n.token && r.Token <= g.token && time.Since(g.at) < grantTime
+	return n.grant, n.grant > 0 && n.grant == n.token && r.Token <= n.grant
 }
 
 func (n *Node) hello() *peer.Hello {
@@ -109,10 +99,7 @@
 		v := n.stand
 		h.View = &v
 	}
-	if age := time.Since(n.grant.at); n.grant.token > 0 && age < grantTime {
-		h.Grant, h.Since = n.grant.token, age.Microseconds()
-	}
-	h.Cancelled = n.cancelled.told(config.Micro(n.set.Deployment.Workers.CancelS))
+	h.Grant = n.grant
 	return h
 }
 
@@ -121,6 +108,10 @@
 	ends := n.meets(h.From, h)
 	a := n.hello()
 	a.Ends = ends
+	if h.Cancelled != nil {
+		n.heardCancelled(n.book.Take(h.From, h.Born, h.Cancelled, n.now()))
+		a.Cancelled = n.book.For(h.From, n.now())
+	}
 	if h.Probe != "" {
 		a.Probe, a.Reached = h.Probe, n.reaches(ctx, h.Probe, h.ProbeBorn)
 	}
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -83,7 +83,7 @@
 	for _, e := range chunks {
 		text := ""
 		readable := wire.Unmarshal(e.Value, &text) == nil
-		s.chunk(e.Key, text, readable)
+		s.chunk(e.Key, e.Version, text, readable)
 	}
 	entries, _, err := r.list(copied, ledgerPrefix)
 	if err != nil {
@@ -130,10 +130,10 @@
 }
 
 // chunk takes a key of progress; readable says whether its value could be read.
-func (s *stored) chunk(key, text string, readable bool) {
+func (s *stored) chunk(key string, version uint64, text string, readable bool) {
 	id, idx, _ := strings.Cut(strings.TrimPrefix(key, donePrefix), "/")
 	if i, err := strconv.Atoi(idx); err == nil && readable {
-		s.chunks = append(s.chunks, storedChunk{key, id, i, text})
+		s.chunks = append(s.chunks, storedChunk{key, id, i, text, version})
 	}
 }
 
@@ -143,7 +143,7 @@
 	cat, _ := n.types()
 	now := n.now()
 	core := sched.New(n.set, r.token, now, cat, func(msg string, args ...any) { n.log.Info(msg, args...) })
-	r.tidy, r.chunks = nil, map[string]int{}
+	r.tidy, r.chunks, r.chunkAt = nil, map[string]int{}, map[string]uint64{}
 	for _, rec := range s.jobs {
 		core.AddJob(rec.Job, rec.Arrival, now)
 		n.setKnown(rec.Job.ID)
@@ -154,6 +154,7 @@
 			continue
 		}
 		core.SetProgress(c.id, c.index, c.text)
+		r.chunkAt[c.key] = c.version
 		r.chunks[c.id] = max(r.chunks[c.id], c.index+1)
 	}
 	core.Load(s.ledger)
@@ -223,6 +224,7 @@
 	key, id string
 	index   int
 	text    string
+	version uint64
 }
 
 type storedEnd struct {
@@ -243,7 +245,7 @@
 	}
 	for _, k := range c.Under(donePrefix) {
 		it, _ := c.Get(k)
-		s.chunk(k, it.Decoded.(string), true)
+		s.chunk(k, it.Version, it.Decoded.(string), true)
 	}
 	for _, k := range c.Under(ledgerPrefix) {
 		it, _ := c.Get(k)
--- a/internal/node/lookup.go
+++ b/internal/node/lookup.go
@@ -32,6 +32,7 @@
 // verdict answers a lookup, as of a moment after it was asked.
 type verdict struct {
 	accepted, ended bool
+	archived        bool
 	st              wire.JobStatus // with the overseer's counts, if it is not ended
 	err             error
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"dalefront/internal/calendar"
 	"dalefront/internal/cloud"
 	"dalefront/internal/config"
+	"dalefront/internal/horizon"
 	"dalefront/internal/peer"
 	"dalefront/internal/snapshot"
 	"dalefront/internal/standby"
@@ -56,34 +57,37 @@
 
 	warm *warm
 
+	book   *horizon.Book            // cancellations, and what follows from them for leases
+	kicks  map[string]chan struct{} // let a greeting of a peer go at once
+	renews atomic.Bool              // as of the last renewal
+
 	beat atomic.Int64 // when the owner goroutine last came by
 
 	draining atomic.Bool
 	drained  chan struct{} // closed when this node is to end
 
-	mu        sync.Mutex
-	leader    string // who holds the term, as far as known
-	token     uint64 // highest token known
-	shown     gauges
-	grant     grant
-	gaveUp    uint64 // the last term that this node gave up by itself
-	reigning  uint64 // this node's token while it acts, otherwise 0
-	catalog   *wire.Catalog
-	finals    map[string]wire.JobStatus
-	finalQ    []string
-	known     map[string]struct{}  // jobs known to be accepted
-	peerAt    map[string]time.Time // when a peer last answered
-	heardAt   map[string]time.Time // when a worker last reported to this node
-	sendOn    *rate.Limiter        // workers that are sent on to another node
-	born      uint64               // names this process
-	started   map[string]*starts   // of the peers' processes
-	cancelled cancelled
-	stand     standby.View         // who stands by
-	unfitAt   map[string]time.Time // when a peer said that it could not follow
-	acting    acting               // which process said hello as overseer
-	answers   int                  // hellos that were answered
-	ends      int                  // how often this node was started anew lately, as a peer said
-	endsAt    time.Time            // when
+	mu       sync.Mutex
+	leader   string // who holds the term, as far as known
+	token    uint64 // highest token known
+	shown    gauges
+	grant    uint64 // the token under which an overseer let this node renew leases
+	gaveUp   uint64 // the last term that this node gave up by itself
+	reigning uint64 // this node's token while it acts, otherwise 0
+	catalog  *wire.Catalog
+	finals   map[string]wire.JobStatus
+	finalQ   []string
+	known    map[string]struct{}  // jobs known to be accepted
+	peerAt   map[string]time.Time // when a peer last answered
+	heardAt  map[string]time.Time // when a worker last reported to this node
+	sendOn   *rate.Limiter        // workers that are sent on to another node
+	born     uint64               // names this process
+	started  map[string]*starts   // of the peers' processes
+	stand    standby.View         // who stands by
+	unfitAt  map[string]time.Time // when a peer said that it could not follow
+	acting   acting               // which process said hello as overseer
+	answers  int                  // hellos that were answered
+	ends     int                  // how often this node was started anew lately, as a peer said
+	endsAt   time.Time            // when
 }
 
 // New returns a node; Run starts it.
@@ -96,6 +100,7 @@
 		cloud:  cloud.New(set.Endpoints.Cloud, d.Cloud.RPS, 0.7),
 		worker: worker.New(d.Resources.Sockets / 16),
 		peers:  map[string]*peer.Client{},
+		kicks:  map[string]chan struct{}{},
 		start:  now, wall: now.UnixMicro(),
 		events: make(chan func(), max(1024, d.Resources.Sockets)),
 		// What the state service takes in two seconds; more are sent away at
@@ -104,7 +109,7 @@
 		lookups: make(chan lookup, maxLookups), lookBacks: make(chan struct{}, 8),
 		finals: map[string]wire.JobStatus{}, known: map[string]struct{}{}, peerAt: map[string]time.Time{}, heardAt: map[string]time.Time{},
 		sendOn: rate.NewLimiter(40, 80), drained: make(chan struct{}),
-		born: newBorn(), started: map[string]*starts{}, cancelled: cancelled{at: map[string]time.Time{}}, unfitAt: map[string]time.Time{},
+		born: newBorn(), started: map[string]*starts{}, unfitAt: map[string]time.Time{},
 	}
 	n.archive = archive.NewReader(n.state)
 	n.warm = newWarm(n)
@@ -120,13 +125,17 @@
 			return nil, err
 		}
 	}
+	labels := make([]string, 0, len(set.Members))
 	for _, m := range set.Members {
 		c, err := peer.Dial(m.Addr)
 		if err != nil {
 			return nil, err
 		}
 		n.peers[m.Label] = c
+		n.kicks[m.Label] = make(chan struct{}, 1)
+		labels = append(labels, m.Label)
 	}
+	n.book = horizon.NewBook(horizon.RulesOf(set), labels)
 	return n, nil
 }
 
@@ -146,6 +155,7 @@
 	if err != nil {
 		return err
 	}
+	n.book.Begin(n.now()) // this process listens, so the one before has ended
 	srv := api.NewServer(api.Handler(n, n.metrics()), n.set.Deployment.Resources.Sockets)
 	rpc := peer.NewServer(n, n.set.Deployment.Resources.Sockets)
 	failed := make(chan error, 2)
@@ -428,7 +438,7 @@
 	if _, _, reigning := n.view(); reigning != a.Token || !n.awake() {
 		return a, false
 	}
-	return a, true
+	return n.renewal(r, a)
 }
 
 // mostWaiters is how many reports may wait for launches at a time: each holds a socket
@@ -462,7 +472,9 @@
 	a, err := p.Relay(ctx, &peer.Relay{Report: *r})
 	if err != nil {
 		if token, ok := n.mayRenew(r); ok {
-			return wire.ReportAnswer{Token: token, Orders: n.stopsFor(r)}, nil
+			if a, ok := n.renewal(r, wire.ReportAnswer{Token: token}); ok {
+				return a, nil
+			}
 		}
 		if to := n.another(leader); to != "" {
 			return wire.ReportAnswer{}, api.Elsewhere{Node: to}
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -42,7 +42,8 @@
 	lastLog      int64
 	lastListed   int64
 	lastLearned  int64
-	chunks       map[string]int // progress chunks stored per job
+	chunks       map[string]int    // progress chunks stored per job
+	chunkAt      map[string]uint64 // and the version of each key
 
 	revision uint64 // where the watch begins
 	directs  chan sched.Direct
@@ -58,12 +59,12 @@
 }
 
 // reignOver loads the stored state and acts as overseer until the term is lost.
-func (n *Node) reignOver(ctx context.Context, token uint64, h *hold) {
+func (n *Node) reignOver(ctx context.Context, token uint64, h *hold, asked int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	plain := ctx
 	ctx = state.Urgent(ctx)
-	r := &reign{n: n, token: token, hold: h, ctx: ctx, cancel: cancel, chunks: map[string]int{},
+	r := &reign{n: n, token: token, hold: h, ctx: ctx, cancel: cancel, chunks: map[string]int{}, chunkAt: map[string]uint64{},
 		directs: make(chan sched.Direct, max(256, n.set.Deployment.Resources.Sockets/4)), cloudQ: make(chan func(), 64)}
 	n.learn(n.set.Label, token)
 	for {
@@ -80,6 +81,7 @@
 		n.log.Info("loading failed, trying again", "err", err)
 		time.Sleep(200 * time.Millisecond)
 	}
+	n.book.Read(asked) // what was loaded is no older than the term
 	installed := make(chan bool, 1)
 	n.post(func() {
 		n.mu.Lock()
@@ -236,6 +238,7 @@
 	// would cost one.
 	every := time.Duration(8 / max(n.set.Deployment.State.RPS, 1) * float64(time.Second))
 	for r.ctx.Err() == nil {
+		asked := n.now()
 		ev, err := n.state.Changes(r.ctx, queuePrefix, from, 5*time.Second)
 		if err != nil {
 			if errors.Is(err, state.ErrCompacted) {
@@ -250,10 +253,10 @@
 			continue
 		}
 		from = max(from, ev.Revision)
-		if len(ev.Events) == 0 {
-			continue
+		next := time.Now()
+		if len(ev.Events) > 0 {
+			next = next.Add(every)
 		}
-		next := time.Now().Add(every)
 		n.post(func() {
 			if n.reign != r {
 				return
@@ -261,7 +264,8 @@
 			for _, e := range ev.Events {
 				r.take(e.Put, e.Value)
 			}
-			n.dirty = true
+			n.book.Read(asked) // the service took the question then, and this is what it knew
+			n.dirty = n.dirty || len(ev.Events) > 0
 		})
 		time.Sleep(time.Until(next))
 	}
@@ -366,6 +370,7 @@
 		r.tidy = append(r.tidy, jobKey(id))
 		for i := range r.chunks[id] {
 			r.tidy = append(r.tidy, chunkKey(id, i))
+			delete(r.chunkAt, chunkKey(id, i))
 		}
 		delete(r.chunks, id)
 	}
@@ -383,7 +388,7 @@
 	if !r.busyProgress && reachable {
 		if cs := r.core.Progress(min(n.set.Deployment.State.TxnOps, max(1, int(n.set.Deployment.State.WriteRPS/10)))); len(cs) > 0 {
 			r.busyProgress = true
-			go r.storeProgress(cs)
+			go r.storeProgress(cs, r.progressTxn(cs))
 		}
 	}
 	if !r.busyTidy && reachable && len(r.tidy) > 0 {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"strings"
 	"time"
 
@@ -163,23 +164,44 @@
 	})
 }
 
-func (r *reign) storeProgress(cs []sched.Chunk) {
-	n := r.n
+// progressTxn stores progress, each chunk on condition that it is as last stored or read: a
+// copy of an earlier transaction that got no answer may be applied after it, and would take
+// back what tasks have been cleared for since. Owner goroutine.
+func (r *reign) progressTxn(cs []sched.Chunk) wire.Txn {
 	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
 	for _, c := range cs {
-		txn.Then = append(txn.Then, wire.Change{Put: chunkKey(c.Job, c.Index), Value: c.Text})
+		key := chunkKey(c.Job, c.Index)
+		txn.If = append(txn.If, wire.Cond{Key: key, Version: r.chunkAt[key]})
+		txn.Then = append(txn.Then, wire.Change{Put: key, Value: c.Text})
+	}
+	return txn
+}
+
+func (r *reign) storeProgress(cs []sched.Chunk, txn wire.Txn) {
+	n := r.n
+	a, err := n.state.Multi(r.ctx, txn)
+	changed := map[string]uint64{} // versions that are another than thought
+	if errors.Is(err, state.ErrConflict) {
+		for _, k := range a.Failed {
+			if e, found, err := n.state.Get(r.ctx, k); err == nil && found && k != termKey {
+				changed[k] = e.Version
+			} else if err == nil && k != termKey {
+				changed[k] = 0
+			}
+		}
 	}
-	_, err := n.state.Multi(r.ctx, txn)
 	// What completes meanwhile goes with the next one. Launches wait for every
 	// change stored before them, and a result that is not stored yet is only
 	// reported once more.
 	time.Sleep(time.Second)
 	n.post(func() {
 		r.busyProgress = false
+		maps.Copy(r.chunkAt, changed)
 		if n.reign != r || err != nil {
 			return
 		}
 		for _, c := range cs {
+			r.chunkAt[chunkKey(c.Job, c.Index)] = a.Revision
 			if _, _, _, known := r.core.Counts(c.Job); !known {
 				r.tidy = append(r.tidy, chunkKey(c.Job, c.Index)) // forgotten meanwhile
 				continue
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -113,6 +113,7 @@
 		}
 		// The service never gives a hold's number twice, whatever the clocks say.
 		mark := fmt.Sprintf("%s.%d.%d", n.set.Label, n.wall, h.id)
+		asked := n.now()
 		a, err := n.state.Multi(ctx, wire.Txn{
 			If:   []wire.Cond{{Key: termKey, Version: left}},
 			Then: []wire.Change{{Put: termKey, Value: termRecord{n.set.Label, mark, n.born}, Lease: h.id}},
@@ -131,7 +132,7 @@
 			continue
 		}
 		n.log.Info("term taken", "node", n.set.Label, "token", token, "replaced", left)
-		n.reignOver(ctx, token, h)
+		n.reignOver(ctx, token, h, asked)
 		h.dead.Store(true) // a term's hold is not used again
 		_ = n.state.Release(ctx, h.id)
 		if n.resigned(token) {
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -51,8 +51,13 @@
 	Done   int    `msgpack:"D"`
 }
 
-// remember keeps a final answer: it may be given without asking anybody.
+// remember keeps a final answer: it may be given without asking anybody, once it is tellable.
 func (n *Node) remember(st wire.JobStatus) {
+	if st.Status == wire.JobCancelled {
+		if _, known := n.final(st.ID); known || !n.book.Note(st.ID, n.now()) {
+			return
+		}
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if _, ok := n.finals[st.ID]; ok {
@@ -100,9 +105,15 @@
 	return st, nil
 }
 
-// Status implements api.Service. A non-final answer always rests on a fresh look
-// at the job's end: another node may have told the user of it a moment ago.
+// Status implements api.Service.
 func (n *Node) Status(ctx context.Context, id string) (wire.JobStatus, error) {
+	st, err := n.status(ctx, id)
+	return n.tellable(ctx, st, err)
+}
+
+// status is a job's state as it is known here. A non-final answer always rests on a fresh
+// look at the job's end: another node may have told the user of it a moment ago.
+func (n *Node) status(ctx context.Context, id string) (wire.JobStatus, error) {
 	if st, ok := n.final(id); ok {
 		return st, nil
 	}
@@ -131,13 +142,20 @@
 	return v.st, nil
 }
 
-// Submit implements api.Service: any node accepts a job by creating its key.
+// Submit implements api.Service.
 func (n *Node) Submit(ctx context.Context, j *wire.Job) (wire.JobStatus, bool, error) {
+	st, created, err := n.submit(ctx, j)
+	st, err = n.tellable(ctx, st, err)
+	return st, created, err
+}
+
+// submit accepts a job by creating its key, as any node may.
+func (n *Node) submit(ctx context.Context, j *wire.Job) (wire.JobStatus, bool, error) {
 	if st, ok := n.final(j.ID); ok {
 		return st, false, nil
 	}
 	if n.knows(j.ID) {
-		st, err := n.Status(ctx, j.ID)
+		st, err := n.status(ctx, j.ID)
 		return st, false, err
 	}
 	cat, ok := n.types()
@@ -147,7 +165,7 @@
 	never := sched.Admit(n.set, cat, j)
 	if never != nil {
 		// A known job stays known, whatever the settings say by now.
-		st, err := n.Status(ctx, j.ID)
+		st, err := n.status(ctx, j.ID)
 		if errors.Is(err, api.ErrUnknown) {
 			return st, false, fmt.Errorf("%w: %v", api.ErrNever, never)
 		}
@@ -176,7 +194,7 @@
 		return wire.JobStatus{ID: j.ID, Status: wire.JobQueued}, true, nil
 	case errors.Is(err, state.ErrConflict), errors.Is(err, state.ErrUnknown):
 		// Accepted before, or perhaps just now: read it back.
-		st, err := n.Status(ctx, j.ID)
+		st, err := n.status(ctx, j.ID)
 		if errors.Is(err, api.ErrUnknown) {
 			err = api.ErrNotNow // it may still be applied
 		}
@@ -185,10 +203,16 @@
 	return wire.JobStatus{}, false, api.ErrNotNow
 }
 
-// Cancel implements api.Service. Done and cancelled share one key that is
-// created once, so the first one is final.
+// Cancel implements api.Service.
 func (n *Node) Cancel(ctx context.Context, id string) (wire.JobStatus, error) {
-	st, err := n.Status(ctx, id)
+	st, err := n.withdraw(ctx, id)
+	return n.tellable(ctx, st, err)
+}
+
+// withdraw ends a job as cancelled. Done and cancelled share one key that is created once,
+// so the first one is final.
+func (n *Node) withdraw(ctx context.Context, id string) (wire.JobStatus, error) {
+	st, err := n.status(ctx, id)
 	if err != nil || wire.Final(st.Status) {
 		return st, err
 	}
@@ -213,9 +237,6 @@
 	if err == nil {
 		st := wire.JobStatus{ID: id, Status: status, Done: done}
 		n.remember(st)
-		if status == wire.JobCancelled {
-			n.noteCancelled(id)
-		}
 		return st, nil
 	}
 	if errors.Is(err, state.ErrConflict) || errors.Is(err, state.ErrUnknown) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
 
+	"dalefront/internal/horizon"
 	"dalefront/internal/standby"
 	"dalefront/wire"
 )
@@ -38,9 +39,8 @@
 	Born  uint64 `msgpack:"b,omitempty"` // of the sender's process: another one each time it is started
 	Ends  int    `msgpack:"e,omitempty"` // in an answer: how often the asking node was started anew lately
 	Grant uint64 `msgpack:"g,omitempty"` // the token of a grant that the sender holds
-	Since int64  `msgpack:"s,omitempty"` // and for how many microseconds
 
-	Cancelled []string `msgpack:"c,omitempty"` // jobs cancelled lately, as far as the sender knows
+	Cancelled *horizon.Shared `msgpack:"k,omitempty"` // in greetings and their answers
 
 	View  *standby.View `msgpack:"v,omitempty"` // who stands by, as the overseer or whoever heard it says
 	Unfit bool          `msgpack:"u,omitempty"` // the sender could not follow lately
--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -265,10 +265,16 @@
 		return code == 200 || code == 201
 	})
 	c.until("it runs", func() bool { c.report(1); return len(c.tasks) == 1 })
+	// One controller is gone, so that not all can hold the cancellation: it is confirmed
+	// once the worker, which goes on reporting, was told to stop the task.
 	c.until("it is cancelled", func() bool {
+		c.report(0)
 		code, _ := c.ask(1, http.MethodPost, wire.PathJobs+"/j-3/"+wire.CancelVerb, nil, &st)
 		return code == 200 && st.Status == wire.JobCancelled
 	})
+	if got, there := c.tasks["j-3/0"]; there && got.State != wire.TaskExited {
+		t.Errorf("cancelled, and its task is %s", got.State)
+	}
 	c.until("its task is gone", func() bool { c.report(0); return len(c.tasks) == 0 })
 	if code, _ := c.ask(0, http.MethodGet, wire.PathJobs+"/j-3", nil, &st); code != 200 || st.Status != wire.JobCancelled {
 		t.Errorf("a cancelled job is shown as %d %s", code, st.Status)
