Test the cut-off leader and confirmed cancellations on real nodes

The state service refuses the leader alone, others confirm, then it is down for all: seven variants with the machine reporting to the old leader.

--- /dev/null
+++ b/internal/sim/meetings_test.go
@@ -0,0 +1,244 @@
+package sim
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
+
+// ways is what each node of a cluster reaches: the state service may refuse one alone, and
+// the ways between two nodes may be cut.
+type ways struct {
+	refused [8]atomic.Bool
+	cut     [8]atomic.Bool // from all peers, both ways
+	gone    chan struct{}  // closed when the machine was given back
+	once    sync.Once
+}
+
+// proxy is an address that leads to another one while neither end is cut.
+func (w *ways) proxy(t testing.TB, from, to int, addr string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	open := func() bool { return !w.cut[from].Load() && !w.cut[to].Load() }
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", addr)
+			if err != nil || !open() {
+				_ = near.Close()
+				if err == nil {
+					_ = far.Close()
+				}
+				continue
+			}
+			pass := func(dst, src net.Conn) {
+				b := make([]byte, 32<<10)
+				for {
+					n, err := src.Read(b)
+					if err != nil || !open() {
+						break
+					}
+					if _, err := dst.Write(b[:n]); err != nil {
+						break
+					}
+				}
+				_, _ = near.Close(), far.Close()
+			}
+			go pass(far, near)
+			go pass(near, far)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// front stands between a node and the services.
+func (w *ways) front(t testing.TB, i int, services string) string {
+	srv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		cloud := strings.HasPrefix(r.URL.Path, wire.PathRentals) || r.URL.Path == wire.PathCatalog
+		if !cloud && w.refused[i].Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+services+r.URL.RequestURI(), r.Body)
+		if err != nil {
+			panic(err)
+		}
+		req.Header = r.Header
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer resp.Body.Close()
+		for !cloud && w.refused[i].Load() { // open watches wait as during an outage
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+		if r.URL.Path == wire.PathReturn && resp.StatusCode == 200 {
+			w.once.Do(func() { close(w.gone) })
+		}
+		rw.WriteHeader(resp.StatusCode)
+		_, _ = io.Copy(rw, resp.Body)
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+const (
+	meetLease  = 2 * time.Second
+	meetCancel = 6 * time.Second
+)
+
+// meet is a cluster whose one machine keeps its lease as a worker does, and that knows when
+// the user was told of the cancellation.
+type meet struct {
+	*cluster
+	*ways
+	rng     *rand.Rand
+	renewed time.Time // when the last report was sent that was answered
+	told    time.Time
+	lost    bool
+}
+
+func newMeet(t testing.TB, seed uint64, size int) *meet {
+	w := &ways{gone: make(chan struct{})}
+	m := &meet{ways: w, rng: rand.New(rand.NewPCG(seed, 28))}
+	m.cluster = newCluster(t, size, func(s *config.Settings) {
+		i := int(s.Label[len(s.Label)-1] - '0')
+		s.Endpoints.State = w.front(t, i, s.Endpoints.State)
+		s.Endpoints.Cloud = s.Endpoints.State
+		for k := range s.Members {
+			s.Members[k].Addr = w.proxy(t, i, int(s.Members[k].Label[len(s.Members[k].Label)-1]-'0'), s.Members[k].Addr)
+		}
+		s.Deployment.Workers.LeaseS, s.Deployment.Workers.CancelS, s.Deployment.Workers.ReportS = meetLease.Seconds(), meetCancel.Seconds(), 0.5
+		*s.Operator.CancelWaitS = 1
+	})
+	return m
+}
+
+// beat lets the worker report to a node, and checks that its lease is not renewed beyond
+// what its user was told. Times are compared as they were taken, so that a slow machine
+// changes nothing.
+func (m *meet) beat(i int) {
+	m.t.Helper()
+	select {
+	case <-m.gone:
+		m.lost = true
+	default:
+	}
+	if m.lost {
+		return
+	}
+	sent := time.Now()
+	if !m.renewed.IsZero() && sent.Sub(m.renewed) > meetLease {
+		m.lost = true // it has killed and forgotten its tasks
+		return
+	}
+	before := m.seq
+	if m.report(i) == 200 && m.seq > before {
+		m.renewed = sent
+	}
+	tr, there := m.tasks["j-1/0"]
+	if there && tr.State == wire.TaskRunning && !m.told.IsZero() && m.renewed.Add(meetLease).After(m.told.Add(meetCancel)) {
+		m.t.Fatalf("the task of a cancelled job is kept %v beyond its time", m.renewed.Add(meetLease).Sub(m.told.Add(meetCancel)))
+	}
+}
+
+func (m *meet) cancel(i int) {
+	var st wire.JobStatus
+	code, _ := m.ask(i, http.MethodPost, wire.PathJobs+"/j-1/"+wire.CancelVerb, nil, &st)
+	if code == 200 && st.Status == wire.JobCancelled && m.told.IsZero() {
+		m.told = time.Now()
+	}
+}
+
+// for how long, at least.
+func (m *meet) beats(d time.Duration, i int, also func()) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(150 * time.Millisecond) {
+		m.beat(i)
+		if also != nil {
+			also()
+		}
+	}
+}
+
+// The state service refuses the leader A alone, B confirms a cancellation, then the service
+// is down for all for longer than cancel_s, and the worker goes on reporting to A: the task
+// is gone in time all the same, or the user was never told. A may also be cut from its
+// peers, B be killed right after it has confirmed, come back at once or not, all others be
+// killed, or the cancellation come when the outage has almost begun.
+func TestCancelledWhileTheLeaderIsCutOff(t *testing.T) {
+	for seed, name := range []string{"refused", "cut from peers", "confirmer killed", "confirmer back", "all others killed", "cut, all others killed", "no time to take over"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newMeet(t, uint64(seed), 3)
+			m.until("an overseer", func() bool { return m.report(0) == 200 })
+			m.until("accepted", func() bool {
+				code, _ := m.ask(0, http.MethodPost, wire.PathJobs, m.submission("j-1", 1), nil)
+				return code == 200 || code == 201
+			})
+			a := -1
+			m.until("it runs", func() bool {
+				m.report(0)
+				for i := range m.addrs {
+					if m.overseer(i) {
+						a = i
+					}
+				}
+				return len(m.tasks) == 1 && a >= 0
+			})
+			b, third := (a+1)%3, (a+2)%3
+			m.renewed = time.Now()
+			m.beats(1500*time.Millisecond, a, nil)
+			cut := strings.Contains(name, "cut") || name == "no time to take over"
+			m.refused[a].Store(true)
+			m.cut[a].Store(cut)
+			window := 3 * time.Second
+			if name == "no time to take over" {
+				window = 700 * time.Millisecond
+			}
+			m.beats(window, a, func() { m.cancel(b) })
+			if !cut && m.told.IsZero() {
+				t.Error("all controllers hear one another, and the cancellation was not confirmed")
+			}
+			m.svc.SetDown(true)
+			switch name {
+			case "confirmer killed":
+				m.stop[b]()
+			case "confirmer back":
+				m.stop[b]()
+				m.start(b)
+			case "all others killed", "cut, all others killed":
+				m.stop[b]()
+				m.stop[third]()
+			}
+			m.beats(meetCancel+meetLease+2*time.Second, a, func() {
+				if m.told.IsZero() && !strings.Contains(name, "killed") {
+					m.cancel(b)
+				}
+			})
+			m.svc.SetDown(false)
+			m.refused[a].Store(false)
+			m.cut[a].Store(false)
+			m.beats(2*time.Second, a, func() { m.cancel(a) })
+		})
+	}
+}
