--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -242,3 +242,32 @@
 		})
 	}
 }
+
+// A transaction with progress gets no answer and is executed after a newer one of the same
+// overseer. It once took back what the newer one had stored, after the worker had been told
+// to clear it, and the next overseer started tasks that were done.
+func TestLateProgressTakesNothingBack(t *testing.T) {
+	c := newCluster(t, 1, func(*config.Settings) {})
+	c.until("an overseer", func() bool { return c.report(0) == 200 })
+	c.until("accepted", func() bool {
+		code, _ := c.ask(0, http.MethodPost, wire.PathJobs, c.submission("j-1", 3), nil)
+		return code == 200 || code == 201
+	})
+	c.until("all run", func() bool { c.report(0); return len(c.tasks) == 3 })
+	done := func(task string) {
+		tr := c.tasks[task]
+		tr.State, tr.Cause = wire.TaskExited, wire.CauseDone
+		c.tasks[task] = tr
+	}
+	key := "p/j-1/0"
+	done("j-1/0")
+	c.svc.HoldBackWrite(key)
+	c.until("it is held back", func() bool { c.report(0); return c.svc.HeldBack() > 0 })
+	done("j-1/1")
+	c.until("both are stored and cleared", func() bool { c.report(0); return len(c.tasks) == 1 })
+	before, _ := c.svc.Entry(key)
+	c.svc.Arrive()
+	if after, ok := c.svc.Entry(key); !ok || string(after.Value) != string(before.Value) {
+		t.Errorf("progress went from %q back to %q", before.Value, after.Value)
+	}
+}
--- a/internal/sim/restart_test.go
+++ b/internal/sim/restart_test.go
@@ -92,6 +92,7 @@
 				c.step()
 			}
 			down := false
+			c.lateWrites(c.rng.IntN(2) == 0)
 			switch c.rng.IntN(5) {
 			case 0:
 				c.svc.Mute(1 + c.rng.IntN(2))
@@ -126,6 +127,7 @@
 				c.ended[id] = c.ended[id] || st.Status == wire.JobDone
 			}
 		}
+		c.svc.LateWrites(nil)
 		c.until("all jobs are done", c.allDone)
 		if len(c.terms) < 2 {
 			t.Errorf("seed %d: only %d terms", seed, len(c.terms))
--- a/internal/sim/warm_test.go
+++ b/internal/sim/warm_test.go
@@ -100,6 +100,7 @@
 				gone = append(gone, chief)
 			}
 			down := false
+			c.lateWrites(c.rng.IntN(2) == 0)
 			switch what := c.rng.IntN(6); what {
 			case 0: // together
 				gone = append(gone, c.standby())
@@ -128,6 +129,7 @@
 				c.svc.SetDown(false)
 			}
 		}
+		c.svc.LateWrites(nil)
 		c.until("all jobs are done", c.allDone)
 		for i := range c.stop {
 			c.stop[i]()
@@ -135,6 +137,19 @@
 	}
 }
 
+// lateWrites begins or ends a time in which one transaction in eight gets no answer and is
+// executed up to two seconds later, after newer ones of the same controller.
+func (c *troubled) lateWrites(on bool) {
+	if !on {
+		c.svc.LateWrites(nil)
+		return
+	}
+	rng := rand.New(rand.NewPCG(c.rng.Uint64(), 28))
+	c.svc.LateWrites(func() (time.Duration, bool) { // the services' lock is held
+		return time.Duration(100+rng.IntN(1900)) * time.Millisecond, rng.IntN(8) == 0
+	})
+}
+
 // pause lets up to so many milliseconds pass.
 func (c *troubled) pause(most int) {
 	time.Sleep(time.Duration(c.rng.IntN(most)) * time.Millisecond)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -28,6 +28,7 @@
 	nonce   int    // of the report in flight
 	heard   int64  // when a report of it last reached a controller outside
 	echo    int64  // until when a peer renews its lease instead of the overseer
+	deaf    int64  // until when no answer reaches it
 }
 
 type message struct {
@@ -299,6 +300,17 @@
 	case 3: // another node renews the lease under the same token, for a while
 		k.echo = w.Now + int64(w.Rng.IntN(int(20*second)))
 	}
+	switch luck {
+	case 4: // a copy arrives again, perhaps well over a lease later, in another session or term
+		late := m
+		late.at += 2*second + int64(w.Rng.IntN(int(2*config.Micro(w.Set.Deployment.Workers.LeaseS))))
+		late.nonce = 0 // nobody waits for its answer
+		w.net = append(w.net, late)
+	case 5: // deaf for a while: its reports arrive, answers are lost
+		if w.Rng.IntN(8) == 0 {
+			k.deaf = w.Now + int64(w.Rng.IntN(int(30*second)))
+		}
+	}
 	if w.cutOff(k, m) {
 		return
 	}
@@ -323,7 +335,7 @@
 		k := m.w
 		k.heard = w.Now
 		v := k.View()
-		if m.lost || v.Dead || w.Now < v.Hung || w.cut(v.Zone) != nil || !k.waiting || k.nonce != m.nonce {
+		if m.lost || w.Now < k.deaf || v.Dead || w.Now < v.Hung || w.cut(v.Zone) != nil || !k.waiting || k.nonce != m.nonce {
 			continue
 		}
 		k.waiting = false
--- a/internal/site/services.go
+++ b/internal/site/services.go
@@ -38,7 +38,9 @@
 	down     bool
 	mute     int
 	holdBack int
+	holdKey  string
 	held     []txn
+	late     func() (time.Duration, bool)
 
 	kept       *keeper
 	dirty      []string // keys that have changed and are not kept yet
@@ -105,6 +107,15 @@
 	s.holdBack = n
 }
 
+// LateWrites asks a function, for each transaction that changes something, whether it gets no
+// answer, and after how long it is executed all the same. It holds no lock of the services.
+// nil: none is late.
+func (s *Services) LateWrites(late func() (time.Duration, bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = late
+}
+
 // Arrive executes what was held back.
 func (s *Services) Arrive() {
 	s.mu.Lock()
@@ -115,6 +126,29 @@
 	s.held = nil
 }
 
+// HeldBack counts the transactions that are held back.
+func (s *Services) HeldBack() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.held)
+}
+
+// HoldBackWrite does to the next transaction that writes a key what HoldBack does to any.
+func (s *Services) HoldBackWrite(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holdKey = key
+}
+
+func (t *txn) writes(key string) bool {
+	for _, c := range t.Then {
+		if c.Put == key {
+			return true
+		}
+	}
+	return false
+}
+
 // Delete removes a key, as some overseer would have.
 func (s *Services) Delete(key string) {
 	s.mu.Lock()
@@ -286,11 +320,27 @@
 		respond(w, http.StatusTooManyRequests, wire.Error{Error: "too many changes"})
 		return
 	}
-	if s.holdBack > 0 && len(t.Then) > 0 {
-		s.holdBack--
+	if named := s.holdKey != "" && t.writes(s.holdKey); named || s.holdBack > 0 && len(t.Then) > 0 {
+		if named {
+			s.holdKey = ""
+		} else {
+			s.holdBack--
+		}
 		s.held = append(s.held, t)
 		panic(http.ErrAbortHandler) // not executed yet, and nobody is told
 	}
+	if s.late != nil && len(t.Then) > 0 {
+		if after, is := s.late(); is {
+			time.AfterFunc(after, func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.expire()
+				_, _ = s.apply(&t)
+				s.flush()
+			})
+			panic(http.ErrAbortHandler)
+		}
+	}
 	code, a := s.apply(&t)
 	if s.mute > 0 && len(t.Then) > 0 && code == 200 {
 		s.mute--
