Show in metrics whether leases are renewed; check real books under cuts, outages and ends

A task that was cleared when it was done must never be started again in the tests' clusters, which was not checked.

--- a/cmd/dalefront/main.go
+++ b/cmd/dalefront/main.go
@@ -18,6 +18,7 @@
 
 	"dalefront/internal/calendar"
 	"dalefront/internal/config"
+	"dalefront/internal/horizon"
 	"dalefront/internal/node"
 )
 
@@ -80,6 +81,9 @@
 					return err
 				}
 			}
+			if r := horizon.RulesOf(s); r.Tight {
+				fmt.Fprintf(cmd.ErrOrStderr(), "%s: warning: cancel_s leaves no room after lease_s: a cancellation that a controller can't be told of is confirmed only once its tasks are gone, however long that takes\n", settings)
+			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: node %s, %d members, %d teams: good\n", settings, s.Label, len(s.Members), len(s.Deployment.Teams))
 			return nil
 		},
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -74,26 +74,40 @@
 		}))
 	}
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "standby", Help: "1 while this node stands by warm with a copy that is good."}, func() float64 {
-		if n.warm.ready() {
-			return 1
-		}
-		return 0
+		return one(n.warm.ready())
 	}))
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "wrong_suspicions", Help: "Overseers whose term this node replaced though their process had not ended."}, func() float64 {
 		n.warm.mu.Lock()
 		defer n.warm.mu.Unlock()
 		return float64(n.warm.suspicion.WrongOnes())
 	}))
+	for name, x := range map[string]struct {
+		help string
+		read func() float64
+	}{
+		"renews":                  {"1 while this node may renew leases, as overseer or under its grant.", func() float64 { return one(n.book.Renews(n.now())) }},
+		"ends_read_age_us":        {"Microseconds since all ends of jobs were known here; without the state service it grows.", func() float64 { age, _ := n.book.Age(n.now()); return float64(age) }},
+		"cancellations_held":      {"Cancellations that this node holds.", func() float64 { held, _ := n.book.Size(); return float64(held) }},
+		"cancellations_unsettled": {"Of these, those that not every controller holds and whose tasks are not known to be gone.", func() float64 { _, open := n.book.Size(); return float64(open) }},
+	} {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: name, Help: x.help}, x.read))
+	}
 	reg.MustRegister(shares{n})
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "overseer", Help: "1 while this node acts as overseer."}, func() float64 {
-		if _, _, reigning := n.view(); reigning != 0 {
-			return 1
-		}
-		return 0
+		_, _, reigning := n.view()
+		return one(reigning != 0)
 	}))
 	return promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
 }
 
+// one is a truth as a gauge.
+func one(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // show updates the gauges. Owner goroutine.
 func (r *reign) show() {
 	var s gauges
--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -42,13 +42,14 @@
 	sets  []*config.Settings
 	stop  []func()                   // ends a node and waits for it
 	tasks map[string]wire.TaskReport // of the one worker
+	clear map[string]bool            // tasks that were cleared when they were done
 	token uint64
 	seq   uint64
 }
 
 func newCluster(t testing.TB, size int, set func(*config.Settings)) *cluster {
 	t.Helper()
-	c := &cluster{t: t, svc: site.NewServices(world(t, 1).Catalog), tasks: map[string]wire.TaskReport{}}
+	c := &cluster{t: t, svc: site.NewServices(world(t, 1).Catalog), tasks: map[string]wire.TaskReport{}, clear: map[string]bool{}}
 	change := set
 	srv := httptest.NewServer(c.svc)
 	t.Cleanup(srv.Close)
@@ -133,10 +134,16 @@
 	for _, o := range a.Orders {
 		switch o.Op {
 		case wire.Launch:
+			if c.clear[o.Task] {
+				c.t.Fatalf("%s is started again, and was cleared when it was done", o.Task)
+			}
 			c.tasks[o.Task] = wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskRunning}
 		case wire.Stop:
 			c.tasks[o.Task] = wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskExited, Cause: wire.CauseStopped}
 		case wire.Clear:
+			if tr := c.tasks[o.Task]; tr.Cause == wire.CauseDone {
+				c.clear[o.Task] = true
+			}
 			delete(c.tasks, o.Task)
 		}
 	}
