Change the overseer by a command; test a standby that only itself is cut off

dalefront handover asks the overseer, found by hellos, to give up the term that the request names, and waits for another to act. A standby that alone loses its peers replaces no term; one that workers can't reach takes over through a third.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"dalefront/internal/peer"
 )
 
 // Drain has Run end in order: it may be called once, from anywhere.
@@ -44,15 +46,29 @@
 // the others go first for a while. Nothing that runs is stopped.
 func (n *Node) HandOver() {
 	n.post(func() {
-		r := n.reign
-		if r == nil {
+		if !n.handOver() {
 			n.log.Info("no term to hand over: this node is not the overseer")
-			return
 		}
-		n.log.Info("hands the term over", "token", r.token)
-		n.mu.Lock()
-		n.gaveUp = r.token
-		n.mu.Unlock()
-		r.end()
 	})
 }
+
+// handOver says whether there was a term to hand over. Owner goroutine.
+func (n *Node) handOver() bool {
+	r := n.reign
+	if r == nil {
+		return false
+	}
+	n.log.Info("hands the term over", "token", r.token)
+	n.mu.Lock()
+	n.gaveUp = r.token
+	n.mu.Unlock()
+	r.end()
+	return true
+}
+
+// PeerHandOver implements peer.Server. A request that comes late is for another term.
+func (n *Node) PeerHandOver(ctx context.Context, h *peer.HandOver) (*peer.HandOverAnswer, error) {
+	var a peer.HandOverAnswer
+	n.do(ctx, func() { a.Did = n.reign != nil && n.reign.token == h.Token && n.handOver() })
+	return &a, ctx.Err()
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -87,6 +87,7 @@
 	PeerHello(context.Context, *Hello) (*Hello, error)
 	PeerRelay(context.Context, *Relay) (*RelayAnswer, error)
 	PeerCounts(context.Context, *Counts) (*CountsAnswer, error)
+	PeerHandOver(context.Context, *HandOver) (*HandOverAnswer, error)
 }
 
 const service = "dalefront.Peer"
@@ -108,6 +109,7 @@
 		method("Hello", Server.PeerHello),
 		method("Relay", Server.PeerRelay),
 		method("Counts", Server.PeerCounts),
+		method("HandOver", Server.PeerHandOver),
 	},
 }
 
--- a/internal/sim/warm_test.go
+++ b/internal/sim/warm_test.go
@@ -1,6 +1,8 @@
 package sim
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +12,7 @@
 	"time"
 
 	"dalefront/internal/config"
+	"dalefront/internal/peer"
 	"dalefront/wire"
 )
 
@@ -74,6 +77,90 @@
 	c.until("the other one acts", func() bool { return c.overseer(third) })
 }
 
+// A standby that is cut off from its peers alone, while the store and workers reach it, sees
+// the overseer's connection break and nobody answer: that is no evidence, and the term stays.
+// Once it hears them again and the overseer ends, it takes over. One that workers can't reach
+// takes over too, and they reach it through the third.
+func TestStandbyCutFromItsPeers(t *testing.T) {
+	m := newMeet(t, 40, 3)
+	m.until("an overseer", func() bool { return m.report(0) == 200 })
+	stands, chief := -1, -1
+	m.until("one stands by", func() bool {
+		m.report(0)
+		stands = m.standby()
+		for i := range m.addrs {
+			if m.overseer(i) {
+				chief = i
+			}
+		}
+		return stands >= 0 && chief >= 0 && stands != chief
+	})
+	third := 3 - chief - stands
+	time.Sleep(1200 * time.Millisecond) // it has heard the overseer say hello as such
+	before, _ := m.svc.Entry("term")
+	m.cut[stands].Store(true)
+	for range 12 { // far longer than suspect_s
+		time.Sleep(150 * time.Millisecond)
+		m.report(third)
+	}
+	if now, _ := m.svc.Entry("term"); now.Version != before.Version {
+		t.Fatal("a standby that only itself is cut off replaced the term")
+	}
+	m.cut[stands].Store(false)
+	m.until("they hear one another", func() bool {
+		m.report(third)
+		return m.standby() == stands && m.shows(stands, "dalefront_wrong_suspicions 0")
+	})
+	time.Sleep(1500 * time.Millisecond)
+	m.stop[chief]()
+	token := m.token
+	m.until("it acts", func() bool { return m.overseer(stands) || m.overseer(third) })
+	m.until("its token reaches a worker that hears only the third", func() bool { return m.report(third) == 200 && m.token > token })
+}
+
+// The overseer is changed by a request to whichever controllers are named; where there is
+// nobody to change with, nothing happens.
+func TestChangeOverseer(t *testing.T) {
+	c := newCluster(t, 3, func(*config.Settings) {})
+	c.until("an overseer", func() bool { return c.report(0) == 200 })
+	var mesh []string
+	for _, s := range c.sets {
+		mesh = append(mesh, s.MeshAddr)
+	}
+	chief := 0
+	c.until("it shows", func() bool {
+		for i := range c.addrs {
+			if c.overseer(i) {
+				chief = i
+				return true
+			}
+		}
+		return false
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if _, err := peer.ChangeOverseer(ctx, []string{mesh[chief]}); !errors.Is(err, peer.ErrAlone) {
+		t.Errorf("with nobody else: %v", err)
+	}
+	if _, err := peer.ChangeOverseer(ctx, []string{mesh[(chief+1)%3], mesh[(chief+2)%3]}); !errors.Is(err, peer.ErrNoOverseer) {
+		t.Errorf("without the overseer: %v", err)
+	}
+	before := c.token
+	did, err := peer.ChangeOverseer(ctx, mesh)
+	if err != nil || did.From != c.sets[chief].Label || did.To == did.From || did.Token <= before {
+		t.Fatalf("%+v: %v", did, err)
+	}
+	c.until("the worker has its token", func() bool { return c.report(0) == 200 && c.token >= did.Token })
+	late, err := peer.Dial(mesh[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	if did, err := late.HandOver(ctx, before); did || err != nil {
+		t.Errorf("a request for an earlier term: %v, %v", did, err)
+	}
+}
+
 // Overseer and standby end together, the standby ends while it follows, the new overseer ends
 // within a takeover, in an outage, in a roll, again and again, with processes that come
 // back after a fraction of a second or much later, and answers of the state service that
