--- a/cmd/dalefront/handover.go
+++ b/cmd/dalefront/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -34,6 +35,9 @@
 			ctx, cancel := context.WithTimeout(cmd.Context(), wait)
 			defer cancel()
 			c, err := peer.ChangeOverseer(ctx, addrs)
+			if errors.Is(err, peer.ErrNoOverseer) || errors.Is(err, peer.ErrNobody) {
+				return &exitError{exitLater, fmt.Errorf("handover: %w", err)}
+			}
 			if err != nil {
 				return fmt.Errorf("handover: %w", err)
 			}
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -75,33 +75,46 @@
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+services+r.URL.RequestURI(), r.Body)
-		if err != nil {
-			panic(err)
-		}
-		req.Header = r.Header
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		defer resp.Body.Close()
-		for !cloud && w.refused[i].Load() { // open watches wait as during an outage
-			select {
-			case <-r.Context().Done():
-				return
-			case <-time.After(20 * time.Millisecond):
+		forward(waiting{rw, func(code int) {
+			for !cloud && w.refused[i].Load() && r.Context().Err() == nil { // open watches wait as during an outage
+				time.Sleep(20 * time.Millisecond)
 			}
-		}
-		if r.URL.Path == wire.PathReturn && resp.StatusCode == 200 {
-			w.once.Do(func() { close(w.gone) })
-		}
-		rw.WriteHeader(resp.StatusCode)
-		_, _ = io.Copy(rw, resp.Body)
+			if r.URL.Path == wire.PathReturn && code == 200 {
+				w.once.Do(func() { close(w.gone) })
+			}
+		}}, r, services)
 	}))
 	t.Cleanup(srv.Close)
 	return strings.TrimPrefix(srv.URL, "http://")
 }
 
+// waiting does something before an answer goes out.
+type waiting struct {
+	http.ResponseWriter
+	first func(code int)
+}
+
+func (w waiting) WriteHeader(code int) {
+	w.first(code)
+	w.ResponseWriter.WriteHeader(code)
+}
+
+// forward hands a request to the services and their answer back.
+func forward(w http.ResponseWriter, r *http.Request, services string) {
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+services+r.URL.RequestURI(), r.Body)
+	if err != nil {
+		panic(err)
+	}
+	req.Header = r.Header
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer resp.Body.Close()
+	w.WriteHeader(resp.StatusCode)
+	_, _ = io.Copy(w, resp.Body)
+}
+
 const (
 	meetLease  = 2 * time.Second
 	meetCancel = 6 * time.Second
