--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -1,11 +1,15 @@
 package sim
 
 import (
+	"cmp"
+	"flag"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -284,3 +288,142 @@
 		t.Errorf("progress went from %q back to %q", before.Value, after.Value)
 	}
 }
+
+var meetings = flag.Int("meetings", 12, "how many seeds of two or three troubles that overlap are played; 8 take some 16 s")
+
+// asks lets a user ask any node about the job and checks the answer against what was told.
+func (m *meet) asks(i int) {
+	m.t.Helper()
+	var st wire.JobStatus
+	code, _ := m.ask(i, http.MethodGet, wire.PathJobs+"/j-1", nil, &st)
+	switch {
+	case code == 404:
+		m.t.Fatalf("node %d: an accepted job is not known", i)
+	case code == 200 && st.Status == wire.JobCancelled && m.told.IsZero():
+		m.told = time.Now()
+	case code == 200 && st.Status != wire.JobCancelled && !m.told.IsZero():
+		m.t.Fatalf("node %d: a job that was cancelled is %s", i, st.Status)
+	}
+}
+
+// Two or three troubles overlap while a job is cancelled: nodes refused by the store, cut from
+// their peers, ended and back at once or later, a machine that reports to one node, to all, or
+// hears no answer for a while, an outage, late transactions; many of them in the seconds of
+// a takeover. The task is gone in time after the user was told, whoever told, and what was
+// told stays so.
+func TestMeetings(t *testing.T) {
+	slots := make(chan struct{}, 8)
+	for seed := range *meetings {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			size := 3 + 2*(seed%2)
+			m := newMeet(t, uint64(seed), size)
+			rng := m.rng
+			m.until("an overseer", func() bool { return m.report(0) == 200 })
+			m.until("accepted", func() bool {
+				code, _ := m.ask(0, http.MethodPost, wire.PathJobs, m.submission("j-1", 1), nil)
+				return code == 200 || code == 201
+			})
+			chief := -1
+			m.until("it runs", func() bool {
+				m.report(0)
+				for i := range m.addrs {
+					if m.overseer(i) {
+						chief = i
+					}
+				}
+				return len(m.tasks) == 1 && chief >= 0
+			})
+			m.renewed = time.Now()
+			m.beats(1200*time.Millisecond, chief, nil)
+			home, sticky, dead := chief, rng.IntN(3) > 0, map[int]bool{}
+			node := func() int { // mostly the leader that was
+				if rng.IntN(2) == 0 {
+					return chief
+				}
+				return rng.IntN(size)
+			}
+			type event struct {
+				at time.Duration
+				do func()
+			}
+			var events []event
+			for range 2 + rng.IntN(2) {
+				i, at, length := node(), time.Duration(rng.IntN(3500))*time.Millisecond, time.Duration(500+rng.IntN(9000))*time.Millisecond
+				on, off := func() {}, func() {}
+				switch rng.IntN(7) {
+				case 0:
+					on, off = func() { m.refused[i].Store(true) }, func() { m.refused[i].Store(false) }
+				case 1:
+					on, off = func() { m.cut[i].Store(true) }, func() { m.cut[i].Store(false) }
+				case 2:
+					on, off = func() { m.refused[i].Store(true); m.cut[i].Store(true) }, func() { m.refused[i].Store(false); m.cut[i].Store(false) }
+				case 3, 4:
+					if length < 4*time.Second {
+						length = 200 * time.Millisecond
+					}
+					on = func() {
+						if !dead[i] {
+							dead[i] = true
+							m.stop[i]()
+						}
+					}
+					off = func() {
+						if dead[i] {
+							dead[i] = false
+							m.start(i)
+						}
+					}
+				case 5:
+					on, off = func() { m.svc.SetDown(true) }, func() { m.svc.SetDown(false) }
+				case 6:
+					late := rand.New(rand.NewPCG(uint64(seed), 29))
+					on = func() {
+						m.svc.LateWrites(func() (time.Duration, bool) { // the services' lock is held
+							return time.Duration(100+late.IntN(4000)) * time.Millisecond, late.IntN(4) == 0
+						})
+					}
+					off = func() { m.svc.LateWrites(nil) }
+				}
+				events = append(events, event{at, on}, event{at + length, off})
+			}
+			if rng.IntN(2) == 0 { // an outage longer than cancel_s, right after
+				at := time.Duration(1500+rng.IntN(2500)) * time.Millisecond
+				events = append(events, event{at, func() { m.svc.SetDown(true) }}, event{at + meetCancel + 2*time.Second, func() { m.svc.SetDown(false) }})
+			}
+			slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+			began, cancelAt := time.Now(), time.Duration(500+rng.IntN(3000))*time.Millisecond
+			for now := time.Duration(0); now < 14*time.Second || len(events) > 0; now = time.Since(began) {
+				for len(events) > 0 && events[0].at <= now {
+					events[0].do()
+					events = events[1:]
+				}
+				if !sticky && rng.IntN(4) == 0 || dead[home] {
+					home = rng.IntN(size)
+				}
+				if !dead[home] {
+					m.beat(home)
+				}
+				if i := rng.IntN(size); !dead[i] && now >= cancelAt {
+					if m.told.IsZero() {
+						m.cancel(i)
+					} else {
+						m.asks(i)
+					}
+				}
+				time.Sleep(time.Duration(50+rng.IntN(100)) * time.Millisecond)
+			}
+			m.svc.LateWrites(nil)
+			m.until("a user is told at last", func() bool {
+				m.beat(home)
+				m.cancel(rng.IntN(size))
+				return !m.told.IsZero()
+			})
+			for i := range m.addrs {
+				m.asks(i)
+			}
+		})
+	}
+}
