--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -98,6 +98,7 @@
 		j.due = j.arrival + config.Micro(*spec.DeadlineS)
 	}
 	c.jobs[spec.ID] = j
+	j.large = j.class.sizes.take(j.spec.Tasks)
 	j.both(func(s *served) { s.submitted++ })
 	c.changed = true
 	cl.sample = j
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -78,6 +78,7 @@
 	due     Micros
 	team    *team
 	class   *class
+	large   bool // among the largest of its class
 
 	done       []uint64
 	doneCount  int
@@ -251,6 +252,8 @@
 	sample   *job    // a recent job, for its shape
 	size     float64 // tasks of a job, a mean that forgets
 	had      served
+	large    served // of had, what the largest jobs had
+	sizes    sizes
 
 	capacity   float64 // CPUs that its jobs have between them
 	capacityAt Micros
--- a/internal/sched/served.go
+++ b/internal/sched/served.go
@@ -26,6 +26,7 @@
 type served struct {
 	submitted, begun, done, late, cancelled int // in this term, those found at its start included
 
+	few   bool    // they are few by their nature
 	ended float64 // done, a count that forgets
 	at    Micros
 
@@ -64,6 +65,14 @@
 	}
 }
 
+// leastAsked is how many jobs it takes for a share to say something.
+func (s *served) leastAsked() float64 {
+	if s.few {
+		return leastAsked / 2
+	}
+	return leastAsked
+}
+
 // judge says, with what another one has had, whether it is behind.
 func (s *served) judge(now Micros, other bool) {
 	was := s.behind
@@ -71,14 +80,53 @@
 	if was {
 		least = caughtUp
 	}
-	s.behind = s.asked >= leastAsked && s.share < least && other
+	s.behind = s.asked >= s.leastAsked() && s.share < least && other
 	if s.behind && !was {
 		s.since = now
 	}
 }
 
-// both calls f with what is counted of the job's class and team.
-func (j *job) both(f func(*served)) { f(&j.class.had); f(&j.team.had) }
+// both calls f with what is counted of the job's class and team, and of its class's largest.
+func (j *job) both(f func(*served)) {
+	f(&j.class.had)
+	f(&j.team.had)
+	if j.large {
+		f(&j.class.large)
+	}
+}
+
+// sizes is how many tasks the jobs of a class had lately.
+type sizes struct {
+	last [64]int
+	n    int
+}
+
+const (
+	leastSizes = 10  // jobs before which none counts as large
+	largeFrom  = 0.8 // share of the jobs that are smaller than the largest
+)
+
+// take takes another job and says whether it is among the largest: of those that come
+// after each other four in five are smaller, or all are smaller or as large. Where all are
+// of one size none is large.
+func (z *sizes) take(tasks int) bool {
+	z.last[z.n%len(z.last)] = tasks
+	z.n++
+	all := z.last[:min(z.n, len(z.last))]
+	if len(all) < leastSizes {
+		return false
+	}
+	smaller, larger := 0, 0
+	for _, x := range all {
+		switch {
+		case x < tasks:
+			smaller++
+		case x > tasks:
+			larger++
+		}
+	}
+	return smaller > 0 && (larger == 0 || float64(smaller) >= largeFrom*float64(len(all)))
+}
 
 // begun notes that a task of the job was seen running.
 func (c *Core) begun(j *job) {
@@ -162,6 +210,16 @@
 		ss = append(ss, &t.had)
 	}
 	group(ss, func(int, int) bool { return true })
+	// The largest of a class beside the others of it, to which a gang yields for as long as
+	// they fit where it does not.
+	for _, cl := range classes {
+		l, x := &cl.large, get(&cl.large)
+		l.few = true
+		l.reckon(c.now, x.running, x.waiting)
+		rest := served{ended: cl.had.ended - l.ended, at: c.now}
+		rest.reckon(c.now, get(&cl.had).running-x.running, get(&cl.had).waiting-x.waiting)
+		l.judge(c.now, rest.asked >= leastAsked && rest.share >= l.share+lead && !young)
+	}
 }
 
 // rivals says whether two classes may use machines of one type.
@@ -187,8 +245,11 @@
 	return out
 }
 
-// behind says whether the job's class or team is.
-func (j *job) behind() bool { return j.class.had.behind || j.team.had.behind }
+// behind says whether the job's class or team is, or the largest of its class are and it is
+// one of them.
+func (j *job) behind() bool {
+	return j.class.had.behind || j.team.had.behind || j.large && j.class.large.behind
+}
 
 // Served is how much of what a class of jobs or a team asked for is served. Counts are
 // of jobs, in this term, those that waited or ran at its start included.
@@ -236,6 +297,9 @@
 	var classes, teams []Served
 	for _, cl := range c.eachClass() {
 		classes = add(classes, cl.name, false, &cl.had)
+		if cl.large.submitted > 0 {
+			classes = add(classes, "largest of "+cl.name, false, &cl.large)
+		}
 	}
 	for _, t := range c.eachTeam() {
 		teams = add(teams, t.Name, true, &t.had)
