--- a/internal/sched/served.go
+++ b/internal/sched/served.go
@@ -19,14 +19,18 @@
 	leastAsked   = 10           // jobs below which a share says nothing
 	fallsBehind  = 0.55         // share below which a class or team is behind
 	caughtUp     = 0.7          // and above which it no longer is
-	lead         = 0.2          // by which the share of one is larger whose jobs can wait
+
+	largeBehind   = 0.5 // the same for the largest jobs of a class
+	largeCaughtUp = 0.6
+
+	lead = 0.2 // by which the share of one is larger whose jobs can wait
 )
 
 // served counts the jobs of a class or a team.
 type served struct {
 	submitted, begun, done, late, cancelled int // in this term, those found at its start included
 
-	few   bool    // they are few by their nature
+	large bool    // counts the largest jobs of a class
 	ended float64 // done, a count that forgets
 	at    Micros
 
@@ -65,22 +69,24 @@
 	}
 }
 
-// leastAsked is how many jobs it takes for a share to say something.
-func (s *served) leastAsked() float64 {
-	if s.few {
-		return leastAsked / 2
+// limits is how many jobs it takes for a share to say something, below which share it is
+// behind, and above which no longer. The largest jobs are few, and each costs its class several
+// others.
+func (s *served) limits() (asked, behind, caught float64) {
+	if s.large {
+		return leastAsked / 2, largeBehind, largeCaughtUp
 	}
-	return leastAsked
+	return leastAsked, fallsBehind, caughtUp
 }
 
 // judge says, with what another one has had, whether it is behind.
 func (s *served) judge(now Micros, other bool) {
 	was := s.behind
-	least := fallsBehind
+	asked, least, caught := s.limits()
 	if was {
-		least = caughtUp
+		least = caught
 	}
-	s.behind = s.asked >= s.leastAsked() && s.share < least && other
+	s.behind = s.asked >= asked && s.share < least && other
 	if s.behind && !was {
 		s.since = now
 	}
@@ -214,7 +220,7 @@
 	// they fit where it does not.
 	for _, cl := range classes {
 		l, x := &cl.large, get(&cl.large)
-		l.few = true
+		l.large = true
 		l.reckon(c.now, x.running, x.waiting)
 		rest := served{ended: cl.had.ended - l.ended, at: c.now}
 		rest.reckon(c.now, get(&cl.had).running-x.running, get(&cl.had).waiting-x.waiting)
