Serve the largest jobs of a class that its small ones leave no room

Cause: gangs are placed smallest first; in a class that asks for more than there is, 2 % of the large ones began within four minutes while no small one waited (test). Change: the largest fifth of a class counts as a class of its own and goes first while less than 0.4 of it is served and a fifth more of the rest.

--- a/internal/sched/served.go
+++ b/internal/sched/served.go
@@ -20,8 +20,8 @@
 	fallsBehind  = 0.55         // share below which a class or team is behind
 	caughtUp     = 0.7          // and above which it no longer is
 
-	largeBehind   = 0.5 // the same for the largest jobs of a class
-	largeCaughtUp = 0.6
+	largeBehind   = 0.4 // the same for the largest jobs of a class
+	largeCaughtUp = 0.5
 
 	lead = 0.2 // by which the share of one is larger whose jobs can wait
 )
--- a/internal/sched/served_test.go
+++ b/internal/sched/served_test.go
@@ -80,3 +80,74 @@
 		}
 	}
 }
+
+// largest plays one class of gangs that asks for more than there is: most are small, every
+// sixth takes a third of the machines. It returns what part of the small and of the large
+// ones began within four minutes.
+func largest(t *testing.T, seed uint64, watched bool) (small, large float64) {
+	r := rand.New(rand.NewPCG(seed, 13))
+	b := newBed(t, config.Team{Name: "a"})
+	const n = 24
+	for i := range n {
+		b.report(fmt.Sprintf("n-%02d", i), "s", "x", 1)
+	}
+	b.classOf("c").waits = []Micros{150 * second, 240 * second}
+	asked, begun := [2]float64{}, [2]float64{}
+	class, counted, last := map[string]int{}, map[string]bool{}, Micros(0)
+	for at := range 900 {
+		b.now += second
+		if at%2 == 0 {
+			id := fmt.Sprintf("j-%d", at)
+			j := spec(id, "a", wire.Normal, 2, 8)
+			j.Class, j.Shape, j.OneZone, j.EstimateS = "c", wire.Gang, true, 25
+			if at%12 == 0 {
+				j.Tasks = 8
+				class[id] = 1
+			}
+			if at < 600 {
+				asked[class[id]]++
+				last = b.now
+			}
+			b.AddJob(j, b.now, b.now)
+		}
+		if !watched {
+			b.reckoned = b.now + 10*second
+		}
+		b.schedule()
+		for i := range n {
+			h := fmt.Sprintf("n-%02d", i)
+			run := b.running(h)
+			for k := range run {
+				id, num, _ := wire.ParseTask(run[k].Task)
+				p := b.machines[h].find(taskKey{b.jobs[id], num}, run[k].Attempt)
+				if j := b.jobs[id]; p.running > 0 && !counted[id] {
+					counted[id] = true
+					if b.now-j.arrival <= 240*second && j.arrival <= last {
+						begun[class[id]]++
+					}
+				}
+				if p.running > 0 && b.now-p.running >= Micros(22+r.IntN(6))*second {
+					run[k].State, run[k].Cause = wire.TaskExited, wire.CauseDone
+				}
+			}
+			b.report(h, "s", "x", 1, run...)
+		}
+		for _, id := range b.Ends() {
+			b.Ended(id, wire.JobDone, b.now, b.now)
+		}
+	}
+	return begun[0] / asked[0], begun[1] / asked[1]
+}
+
+// The largest jobs of a class, to which the small ones leave no room, begin too: one in
+// fifty of them began within four minutes, and no small one waited.
+func TestTheLargestAreServed(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		if small, large := largest(t, seed, false); small < 0.95 || large > 0.1 {
+			t.Errorf("seed %d: the large ones would not be left behind: %.2f, %.2f", seed, small, large)
+		}
+		if small, large := largest(t, seed, true); small < 0.8 || large < 0.5 {
+			t.Errorf("seed %d: %.2f of the small and %.2f of the large ones are served", seed, small, large)
+		}
+	}
+}
