--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -179,6 +179,29 @@
 	}
 }
 
+// begin has a job's task running, and returns the overseer, which its machine reports to.
+func (m *meet) begin() (chief int) {
+	m.t.Helper()
+	m.until("an overseer", func() bool { return m.report(0) == 200 })
+	m.until("accepted", func() bool {
+		code, _ := m.ask(0, http.MethodPost, wire.PathJobs, m.submission("j-1", 1), nil)
+		return code == 200 || code == 201
+	})
+	chief = -1
+	m.until("it runs", func() bool {
+		m.report(0)
+		for i := range m.addrs {
+			if m.overseer(i) {
+				chief = i
+			}
+		}
+		return len(m.tasks) == 1 && chief >= 0
+	})
+	m.renewed = time.Now()
+	m.beats(1500*time.Millisecond, chief, nil)
+	return chief
+}
+
 func (m *meet) cancel(i int) {
 	var st wire.JobStatus
 	code, _ := m.ask(i, http.MethodPost, wire.PathJobs+"/j-1/"+wire.CancelVerb, nil, &st)
@@ -207,24 +230,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			m := newMeet(t, uint64(seed), 3)
-			m.until("an overseer", func() bool { return m.report(0) == 200 })
-			m.until("accepted", func() bool {
-				code, _ := m.ask(0, http.MethodPost, wire.PathJobs, m.submission("j-1", 1), nil)
-				return code == 200 || code == 201
-			})
-			a := -1
-			m.until("it runs", func() bool {
-				m.report(0)
-				for i := range m.addrs {
-					if m.overseer(i) {
-						a = i
-					}
-				}
-				return len(m.tasks) == 1 && a >= 0
-			})
+			a := m.begin()
 			b, third := (a+1)%3, (a+2)%3
-			m.renewed = time.Now()
-			m.beats(1500*time.Millisecond, a, nil)
 			cut := strings.Contains(name, "cut") || name == "no time to take over"
 			m.refused[a].Store(true)
 			m.cut[a].Store(cut)
@@ -321,23 +328,7 @@
 			size := 3 + 2*(seed%2)
 			m := newMeet(t, uint64(seed), size)
 			rng := m.rng
-			m.until("an overseer", func() bool { return m.report(0) == 200 })
-			m.until("accepted", func() bool {
-				code, _ := m.ask(0, http.MethodPost, wire.PathJobs, m.submission("j-1", 1), nil)
-				return code == 200 || code == 201
-			})
-			chief := -1
-			m.until("it runs", func() bool {
-				m.report(0)
-				for i := range m.addrs {
-					if m.overseer(i) {
-						chief = i
-					}
-				}
-				return len(m.tasks) == 1 && chief >= 0
-			})
-			m.renewed = time.Now()
-			m.beats(1200*time.Millisecond, chief, nil)
+			chief := m.begin()
 			home, sticky, dead := chief, rng.IntN(3) > 0, map[int]bool{}
 			node := func() int { // mostly the leader that was
 				if rng.IntN(2) == 0 {
