--- a/internal/horizon/horizon_test.go
+++ b/internal/horizon/horizon_test.go
@@ -289,3 +289,18 @@
 		t.Error("another process was not told all")
 	}
 }
+
+// What was acknowledged to an earlier process of this controller is not this one's list.
+func TestAnotherProcessesList(t *testing.T) {
+	a := NewBook(testRules(), []string{"b"})
+	a.Begin(second)
+	a.Note("j-1", 2*second)
+	a.Answered("b", 7, 9, &Shared{Born: 6, Holds: 1}, 2*second, 2*second)
+	if ok, _ := a.MayTell("j-1", 2*second); ok {
+		t.Error("told by what another process was told")
+	}
+	a.Answered("b", 7, 9, &Shared{Born: 7, Holds: 1}, 2*second, 2*second)
+	if ok, _ := a.MayTell("j-1", 2*second); !ok {
+		t.Error("not told")
+	}
+}
