Find the overseer of a test's cluster in one place; drop an accessor that nothing used

The loop over the nodes stood three times in the new tests beside troubled.chief, which every cluster has now. Parentheses where && and || met. Behaviour as before.

--- a/internal/horizon/horizon.go
+++ b/internal/horizon/horizon.go
@@ -112,9 +112,6 @@
 	return b
 }
 
-// Rules returns the times that the book goes by.
-func (b *Book) Rules() Rules { return b.rules }
-
 // Begin says that from now on no earlier process of this controller can hold anything more.
 func (b *Book) Begin(now Micros) {
 	b.mu.Lock()
--- a/internal/node/cancelled.go
+++ b/internal/node/cancelled.go
@@ -111,7 +111,7 @@
 	// gone, and none is launched after its end: then nobody need know of it.
 	ctx, cancel := context.WithTimeout(ctx, goneWait)
 	defer cancel()
-	if v := n.look(ctx, st.ID, true); v.err == nil && v.ended && !v.accepted || v.archived {
+	if v := n.look(ctx, st.ID, true); v.archived || (v.err == nil && v.ended && !v.accepted) {
 		n.book.Settle(st.ID)
 		return st, nil
 	}
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -187,14 +187,9 @@
 		code, _ := m.ask(0, http.MethodPost, wire.PathJobs, m.submission("j-1", 1), nil)
 		return code == 200 || code == 201
 	})
-	chief = -1
 	m.until("it runs", func() bool {
 		m.report(0)
-		for i := range m.addrs {
-			if m.overseer(i) {
-				chief = i
-			}
-		}
+		chief = m.chief()
 		return len(m.tasks) == 1 && chief >= 0
 	})
 	m.renewed = time.Now()
--- a/internal/sim/restart_test.go
+++ b/internal/sim/restart_test.go
@@ -139,7 +139,7 @@
 }
 
 // chief is the node that shows itself as overseer, or -1.
-func (c *troubled) chief() int {
+func (c *cluster) chief() int {
 	for i := range c.addrs {
 		if c.overseer(i) {
 			return i
--- a/internal/sim/warm_test.go
+++ b/internal/sim/warm_test.go
@@ -87,12 +87,7 @@
 	stands, chief := -1, -1
 	m.until("one stands by", func() bool {
 		m.report(0)
-		stands = m.standby()
-		for i := range m.addrs {
-			if m.overseer(i) {
-				chief = i
-			}
-		}
+		stands, chief = m.standby(), m.chief()
 		return stands >= 0 && chief >= 0 && stands != chief
 	})
 	third := 3 - chief - stands
@@ -127,16 +122,8 @@
 	for _, s := range c.sets {
 		mesh = append(mesh, s.MeshAddr)
 	}
-	chief := 0
-	c.until("it shows", func() bool {
-		for i := range c.addrs {
-			if c.overseer(i) {
-				chief = i
-				return true
-			}
-		}
-		return false
-	})
+	chief := -1
+	c.until("it shows", func() bool { chief = c.chief(); return chief >= 0 })
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	if _, err := peer.ChangeOverseer(ctx, []string{mesh[chief]}); !errors.Is(err, peer.ErrAlone) {
