Tell a user that a job is cancelled only once its record is gone

The leader deletes the record, on condition of its term, after every task was proven gone, and no launch is stored after the end: so nothing that fails after the answer can break it. Renewals need no horizon, no controller holds cancellations in memory, and an outage costs no lease for their sake. internal/horizon goes, with cancel_wait_s (still read, with a warning, so that an operator's file goes on working) and its metrics.

Until then a poll says queued or running, which is what nobody was told otherwise. Ends stored by an earlier version lack the mark: their users may have been told, so they get 503 until the record is gone.

A worker's answer to a direct command is a report too: it proves that tasks which were seen there are gone, and that of an earlier session nothing is left. Machines are returned only under a term that the state service has just confirmed, and one with a cancelled task as soon as that is cheaper than to wait.

--- a/cmd/dalefront/main.go
+++ b/cmd/dalefront/main.go
@@ -18,7 +18,6 @@
 
 	"dalefront/internal/calendar"
 	"dalefront/internal/config"
-	"dalefront/internal/horizon"
 	"dalefront/internal/node"
 )
 
@@ -81,8 +80,8 @@
 					return err
 				}
 			}
-			if r := horizon.RulesOf(s); r.Tight {
-				fmt.Fprintf(cmd.ErrOrStderr(), "%s: warning: cancel_s leaves no room after lease_s: a cancellation that a controller can't be told of is confirmed only once its tasks are gone, however long that takes\n", settings)
+			if s.Operator.CancelWaitS != nil {
+				fmt.Fprintf(cmd.ErrOrStderr(), "%s: warning: cancel_wait_s has no effect any more: a cancellation is confirmed once its tasks are gone\n", operator)
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: node %s, %d members, %d teams: good\n", settings, s.Label, len(s.Members), len(s.Deployment.Teams))
 			return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -121,7 +121,7 @@
 	TakeoverCopyS *float64 `hcl:"takeover_copy_s,optional"`
 	Standbys      *int     `hcl:"standbys,optional"`
 	SuspectS      *float64 `hcl:"suspect_s,optional"`
-	CancelWaitS   *float64 `hcl:"cancel_wait_s,optional"`
+	CancelWaitS   *float64 `hcl:"cancel_wait_s,optional"` // of an earlier version; it has no effect
 	SnapshotEvery *float64 `hcl:"snapshot_every_s,optional"`
 	SnapshotDir   string   `hcl:"snapshot_dir,optional"`      // paths are, if relative, beside the operator's own file
 	SnapshotKey   string   `hcl:"snapshot_key_file,optional"` // any secret
@@ -158,7 +158,6 @@
 	o.Standbys = or(o.Standbys, 1)
 	o.SuspectS = or(o.SuspectS, 0.25)
 	o.ArchiveShare = or(o.ArchiveShare, 0.1)
-	o.CancelWaitS = or(o.CancelWaitS, 45)
 }
 
 // How tasks make way. The paper's rule is the adaptive one; the others are there to
@@ -207,7 +206,6 @@
 		{"standbys", float64(*o.Standbys), 0, 8},
 		{"suspect_s", *o.SuspectS, 0, 60},
 		{"archive_share", *o.ArchiveShare, 0.001, 0.5},
-		{"cancel_wait_s", *o.CancelWaitS, 0, 70},
 	} {
 		if !(f.v >= f.lo && f.v <= f.hi) {
 			return fmt.Errorf("%s: must be from %g to %g", f.name, f.lo, f.hi)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -229,7 +229,7 @@
 	for _, id := range x.core.Ends() {
 		x.jobs[id].ended = x.now
 		x.fleet.Told(wire.JobStatus{ID: id, Status: wire.JobDone})
-		x.core.Ended(id, wire.JobDone, x.now, x.now)
+		x.core.Ended(id, wire.JobDone, x.now)
 		ended++
 	}
 	x.core.Forgotten()
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -15,10 +15,10 @@
 	n := r.n
 	now := n.now()
 	r.core.Survey(now, n.controllers())
-	returns := r.core.Returns(now, blind)
+	var returns []string
 	var hires []wire.Hire
 	if n.state.Reachable(3 * time.Second) {
-		hires = r.core.Hires(now)
+		returns, hires = r.core.Returns(now, blind), r.core.Hires(now)
 	}
 	for i := range hires {
 		r.hireSeq++
--- a/internal/node/hello.go
+++ b/internal/node/hello.go
@@ -11,10 +11,7 @@
 // greet exchanges what is known about the term with a peer.
 func (n *Node) greet(ctx context.Context, label string, p *peer.Client) {
 	for {
-		asked := n.now()
-		h := n.hello()
-		h.Cancelled = n.book.For(label, asked)
-		a, err := p.Hello(ctx, h)
+		a, err := p.Hello(ctx, n.hello())
 		if err == nil {
 			n.mu.Lock()
 			n.peerAt[label] = time.Now()
@@ -22,16 +19,11 @@
 			n.meets(label, a)
 			n.counted(a.Ends)
 			n.inherits(a)
-			if a.Cancelled != nil {
-				n.heardCancelled(n.book.Answered(label, n.born, a.Born, a.Cancelled, asked, n.now()))
-			}
 		}
-		rest(ctx, tellEvery)
 		select {
 		case <-ctx.Done():
 			return
-		case <-n.kicks[label]:
-		case <-time.After(time.Second - tellEvery):
+		case <-time.After(time.Second):
 		}
 	}
 }
@@ -77,9 +69,9 @@
 
 // mayRenew says whether this node may renew the worker's lease by itself: under the
 // overseer's grant, which is its token in a hello, while neither the overseer nor the state
-// service is in reach. It carries no commands but stops of cancelled tasks, and nothing is
-// ever freed because time has passed, so a grant that outlives its overseer starts nothing
-// twice. For how long is internal/horizon's to say.
+// service is in reach. It carries no commands, and nothing is ever freed because time has
+// passed, so a grant that outlives its overseer starts nothing twice, and nobody was told of a
+// cancellation whose tasks it keeps alive.
 func (n *Node) mayRenew(r *wire.Report) (uint64, bool) {
 	if n.state.Reachable(3 * time.Second) {
 		return 0, false // then another overseer can be found
@@ -108,10 +100,6 @@
 	ends := n.meets(h.From, h)
 	a := n.hello()
 	a.Ends = ends
-	if h.Cancelled != nil {
-		n.heardCancelled(n.book.Take(h.From, h.Born, h.Cancelled, n.now()))
-		a.Cancelled = n.book.For(h.From, n.now())
-	}
 	if h.Probe != "" {
 		a.Probe, a.Reached = h.Probe, n.reaches(ctx, h.Probe, h.ProbeBorn)
 	}
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -165,8 +165,10 @@
 	// are adopted; the name is never used again.
 	r.tidy = append(r.tidy, s.hires...)
 	for _, e := range s.ends {
-		n.remember(wire.JobStatus{ID: e.id, Status: e.Status, Done: e.Done})
-		core.Ended(e.id, e.Status, e.At, n.now())
+		if e.Status == wire.JobDone {
+			n.remember(e.answer(e.id))
+		}
+		core.Ended(e.id, e.Status, n.now())
 	}
 	return core, r.loadSchedules(s.schedule)
 }
--- a/internal/node/lookup.go
+++ b/internal/node/lookup.go
@@ -137,7 +137,7 @@
 	}
 	var running []string
 	for _, l := range batch {
-		if exists[jobKey(l.id)] && !exists[endKey(l.id)] {
+		if exists[jobKey(l.id)] {
 			running = append(running, l.id)
 		}
 	}
@@ -180,13 +180,13 @@
 }
 
 // endOf reads the end of a job that is known to have one.
-func (n *Node) endOf(ctx context.Context, id string) (wire.JobStatus, error) {
+func (n *Node) endOf(ctx context.Context, id string) (endRecord, error) {
 	if st, ok := n.final(id); ok {
-		return st, nil
+		return endRecord{Status: st.Status, Done: st.Done}, nil
 	}
 	e, found, err := n.state.Get(ctx, endKey(id))
 	if err != nil {
-		return wire.JobStatus{}, err
+		return endRecord{}, err
 	}
 	if found {
 		return n.decodeEnd(id, e.Value)
@@ -196,7 +196,8 @@
 		err = fmt.Errorf("the end of %s is missing", id)
 	}
 	if err != nil {
-		return wire.JobStatus{}, err
+		return endRecord{}, err
 	}
-	return n.archived(a.Record), nil
+	st := n.archived(a.Record)
+	return endRecord{Status: st.Status, Done: st.Done}, nil
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -81,17 +81,8 @@
 		defer n.warm.mu.Unlock()
 		return float64(n.warm.suspicion.WrongOnes())
 	}))
-	for name, x := range map[string]struct {
-		help string
-		read func() float64
-	}{
-		"renews":                  {"1 while this node may renew leases, as overseer or under its grant.", func() float64 { return one(n.book.Renews(n.now())) }},
-		"ends_read_age_us":        {"Microseconds since all ends of jobs were known here; without the state service it grows.", func() float64 { age, _ := n.book.Age(n.now()); return float64(age) }},
-		"cancellations_held":      {"Cancellations that this node holds.", func() float64 { held, _ := n.book.Size(); return float64(held) }},
-		"cancellations_unsettled": {"Of these, those that not every controller holds and whose tasks are not known to be gone.", func() float64 { _, open := n.book.Size(); return float64(open) }},
-	} {
-		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: name, Help: x.help}, x.read))
-	}
+	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "cancellations_waiting",
+		Help: "Users that wait here until the tasks of a job that they cancelled are gone."}, func() float64 { return float64(len(n.cancels)) }))
 	reg.MustRegister(shares{n})
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "overseer", Help: "1 while this node acts as overseer."}, func() float64 {
 		_, _, reigning := n.view()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,7 +19,6 @@
 	"dalefront/internal/calendar"
 	"dalefront/internal/cloud"
 	"dalefront/internal/config"
-	"dalefront/internal/horizon"
 	"dalefront/internal/peer"
 	"dalefront/internal/snapshot"
 	"dalefront/internal/standby"
@@ -46,6 +45,7 @@
 
 	events  chan func()   // run by the owner
 	submits chan struct{} // bounds the submissions that are being stored
+	cancels chan struct{} // bounds the users that wait for their jobs' tasks to be gone
 	lookups chan lookup   // questions of users that wait for the next read
 
 	lookBacks chan struct{} // bounds the questions to the archive
@@ -57,10 +57,6 @@
 
 	warm *warm
 
-	book   *horizon.Book            // cancellations, and what follows from them for leases
-	kicks  map[string]chan struct{} // let a greeting of a peer go at once
-	renews atomic.Bool              // as of the last renewal
-
 	beat atomic.Int64 // when the owner goroutine last came by
 
 	draining atomic.Bool
@@ -100,12 +96,12 @@
 		cloud:  cloud.New(set.Endpoints.Cloud, d.Cloud.RPS, 0.7),
 		worker: worker.New(d.Resources.Sockets / 16),
 		peers:  map[string]*peer.Client{},
-		kicks:  map[string]chan struct{}{},
 		start:  now, wall: now.UnixMicro(),
 		events: make(chan func(), max(1024, d.Resources.Sockets)),
 		// What the state service takes in two seconds; more are sent away at
 		// once, since they could not be told in time.
 		submits: make(chan struct{}, max(8, int(2*d.State.WriteRPS))),
+		cancels: make(chan struct{}, max(16, d.Resources.Sockets/4)),
 		lookups: make(chan lookup, maxLookups), lookBacks: make(chan struct{}, 8),
 		finals: map[string]wire.JobStatus{}, known: map[string]struct{}{}, peerAt: map[string]time.Time{}, heardAt: map[string]time.Time{},
 		sendOn: rate.NewLimiter(40, 80), drained: make(chan struct{}),
@@ -125,17 +121,13 @@
 			return nil, err
 		}
 	}
-	labels := make([]string, 0, len(set.Members))
 	for _, m := range set.Members {
 		c, err := peer.Dial(m.Addr)
 		if err != nil {
 			return nil, err
 		}
 		n.peers[m.Label] = c
-		n.kicks[m.Label] = make(chan struct{}, 1)
-		labels = append(labels, m.Label)
 	}
-	n.book = horizon.NewBook(horizon.RulesOf(set), labels)
 	return n, nil
 }
 
@@ -155,7 +147,6 @@
 	if err != nil {
 		return err
 	}
-	n.book.Begin(n.now()) // this process listens, so the one before has ended
 	srv := api.NewServer(api.Handler(n, n.metrics()), n.set.Deployment.Resources.Sockets)
 	rpc := peer.NewServer(n, n.set.Deployment.Resources.Sockets)
 	failed := make(chan error, 2)
@@ -435,10 +426,8 @@
 		case <-ctx.Done():
 		}
 	}
-	if _, _, reigning := n.view(); reigning != a.Token || !n.awake() {
-		return a, false
-	}
-	return n.renewal(r, a)
+	_, _, reigning = n.view()
+	return a, reigning == a.Token && n.awake()
 }
 
 // mostWaiters is how many reports may wait for launches at a time: each holds a socket
@@ -472,9 +461,7 @@
 	a, err := p.Relay(ctx, &peer.Relay{Report: *r})
 	if err != nil {
 		if token, ok := n.mayRenew(r); ok {
-			if a, ok := n.renewal(r, wire.ReportAnswer{Token: token}); ok {
-				return a, nil
-			}
+			return wire.ReportAnswer{Token: token, Orders: []wire.Order{}}, nil
 		}
 		if to := n.another(leader); to != "" {
 			return wire.ReportAnswer{}, api.Elsewhere{Node: to}
--- a/internal/node/reign.go
+++ b/internal/node/reign.go
@@ -25,25 +25,27 @@
 	cancel context.CancelFunc
 
 	// Owned by the owner goroutine.
-	doubt        int64 // after a standstill of so long: nothing is done until the term is confirmed
-	waiters      []waiter
-	passes       int // scheduling passes so far
-	busyCommit   bool
-	busyProgress bool
-	busyTidy     bool
-	busyEnds     bool
-	busyLearned  bool
-	busyCloud    bool
-	busyRecur    bool
-	recur        *recur.Engine // nil without a calendar
-	ends         []string      // jobs whose end is to be stored
-	tidy         []string      // keys to delete
-	lastCloud    int64
-	lastLog      int64
-	lastListed   int64
-	lastLearned  int64
-	chunks       map[string]int    // progress chunks stored per job
-	chunkAt      map[string]uint64 // and the version of each key
+	doubt         int64 // after a standstill of so long: nothing is done until the term is confirmed
+	waiters       []waiter
+	passes        int // scheduling passes so far
+	busyCommit    bool
+	busyProgress  bool
+	busyTidy      bool
+	busyEnds      bool
+	busyLearned   bool
+	busyCloud     bool
+	busyCancelled bool
+	busyRecur     bool
+	recur         *recur.Engine // nil without a calendar
+	ends          []string      // jobs whose end is to be stored
+	tidy          []string      // keys to delete
+	cancelled     []string      // records of cancelled jobs whose tasks are gone: their users wait
+	lastCloud     int64
+	lastLog       int64
+	lastListed    int64
+	lastLearned   int64
+	chunks        map[string]int    // progress chunks stored per job
+	chunkAt       map[string]uint64 // and the version of each key
 
 	revision uint64 // where the watch begins
 	directs  chan sched.Direct
@@ -81,7 +83,6 @@
 		n.log.Info("loading failed, trying again", "err", err)
 		time.Sleep(200 * time.Millisecond)
 	}
-	n.book.Read(asked) // what was loaded is no older than the term
 	installed := make(chan bool, 1)
 	n.post(func() {
 		n.mu.Lock()
@@ -184,22 +185,20 @@
 	n.dirty = true
 }
 
-// mine says whether the term is still this node's, as far as it can tell: what is
-// said to the cloud is, unlike what is stored, not conditional on it.
+// mine says whether the state service has just confirmed that the term is this node's: what
+// is said to the cloud is, unlike what is stored, not conditional on it. A node that the
+// service refuses alone may have been replaced, and a machine that it takes for silent may
+// work for the next leader.
 func (r *reign) mine() bool {
 	n := r.n
 	if r.ctx.Err() != nil || !n.awake() {
 		return false
 	}
-	if !n.state.Reachable(3 * time.Second) {
-		return true // nobody else can act, and cancelled tasks have to go
-	}
 	_, err := n.state.Multi(r.ctx, wire.Txn{If: []wire.Cond{r.termCond()}})
 	if errors.Is(err, state.ErrConflict) {
 		n.post(func() { r.end() })
-		return false
 	}
-	return n.awake()
+	return err == nil && n.awake()
 }
 
 // end stops acting. It runs on the owner goroutine.
@@ -220,14 +219,10 @@
 // termCond makes a transaction fail once another node holds the term.
 func (r *reign) termCond() wire.Cond { return wire.Cond{Key: termKey, Version: r.token} }
 
-func (r *reign) ended(core *sched.Core, id string, value []byte) error {
-	var rec endRecord
-	if err := wire.Unmarshal(value, &rec); err != nil {
-		return err
-	}
-	r.n.remember(wire.JobStatus{ID: id, Status: rec.Status, Done: rec.Done})
-	core.Ended(id, rec.Status, rec.At, r.n.now())
-	return nil
+func (r *reign) ended(id string, value []byte) {
+	if rec, err := r.n.decodeEnd(id, value); err == nil {
+		r.core.Ended(id, rec.Status, r.n.now())
+	}
 }
 
 // watch brings accepted and ended jobs.
@@ -238,7 +233,6 @@
 	// would cost one.
 	every := time.Duration(8 / max(n.set.Deployment.State.RPS, 1) * float64(time.Second))
 	for r.ctx.Err() == nil {
-		asked := n.now()
 		ev, err := n.state.Changes(r.ctx, queuePrefix, from, 5*time.Second)
 		if err != nil {
 			if errors.Is(err, state.ErrCompacted) {
@@ -264,7 +258,6 @@
 			for _, e := range ev.Events {
 				r.take(e.Put, e.Value)
 			}
-			n.book.Read(asked) // the service took the question then, and this is what it knew
 			n.dirty = n.dirty || len(ev.Events) > 0
 		})
 		time.Sleep(time.Until(next))
@@ -279,17 +272,12 @@
 		if wire.Unmarshal(value, &rec) != nil {
 			return
 		}
-		if _, over := n.final(id); !over {
+		if _, over := n.final(id); !over { // else its record is gone, or its core knows it
 			n.setKnown(id)
 			r.core.AddJob(rec.Job, rec.Arrival, n.now())
-		} else if _, _, _, known := r.core.Counts(id); !known {
-			// Cancelled here before the watch brought it: nothing of it can have begun, and
-			// nobody else would ever delete its record, without which its end could not be
-			// archived either.
-			r.tidy = append(r.tidy, key)
 		}
 	} else if id, ok := strings.CutPrefix(key, endPrefix); ok {
-		_ = r.ended(r.core, id, value)
+		r.ended(id, value)
 	}
 }
 
@@ -366,14 +354,25 @@
 		}
 		go r.storeEnds(ids, done)
 	}
-	for _, id := range r.core.Forgotten() {
-		r.tidy = append(r.tidy, jobKey(id))
+	for _, f := range r.core.Forgotten() {
+		id := f.Job
+		if f.Status == wire.JobCancelled {
+			r.cancelled = append(r.cancelled, jobKey(id))
+		} else {
+			r.tidy = append(r.tidy, jobKey(id))
+		}
 		for i := range r.chunks[id] {
 			r.tidy = append(r.tidy, chunkKey(id, i))
 			delete(r.chunkAt, chunkKey(id, i))
 		}
 		delete(r.chunks, id)
 	}
+	if k := min(len(r.cancelled), n.set.Deployment.State.TxnOps); k > 0 && !r.busyCancelled && n.state.Reachable(3*time.Second) {
+		keys := r.cancelled[:k:k]
+		r.cancelled = r.cancelled[k:]
+		r.busyCancelled = true
+		go r.deleteCancelled(keys)
+	}
 }
 
 // tick does what time brings: progress, tidying, the fleet. Owner goroutine.
@@ -450,7 +449,22 @@
 			if !r.n.awake() {
 				continue // as old as the standstill; a report's answer repeats it
 			}
-			_, _ = r.n.worker.Orders(r.ctx, d.Addr, d.Orders)
+			r.answered(r.n.worker.Orders(r.ctx, d.Addr, d.Orders))
 		}
 	}
 }
+
+// answered hands the core what a worker said to a direct command: its report, also where it
+// refused the command (409).
+func (r *reign) answered(said wire.Report, _ error) {
+	if said.Host == "" {
+		return
+	}
+	n := r.n
+	n.post(func() {
+		if n.reign == r && r.doubt == 0 {
+			r.core.Answered(&said, n.now())
+			n.dirty = n.dirty || r.core.Changed()
+		}
+	})
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -94,7 +94,7 @@
 			case strings.HasPrefix(k, endPrefix) && found:
 				n.post(func() {
 					if n.reign == r {
-						_ = r.ended(r.core, strings.TrimPrefix(k, endPrefix), e.Value)
+						r.ended(strings.TrimPrefix(k, endPrefix), e.Value)
 					}
 				})
 			case strings.HasPrefix(k, ledgerPrefix):
@@ -130,13 +130,13 @@
 	}
 	txn.If = n.guarded(txn.If, ids...)
 	_, together := n.state.Multi(ctx, txn)
-	ends := make([]wire.JobStatus, len(ids))
+	ends := make([]endRecord, len(ids))
 	errs := make([]error, len(ids))
 	failed := false
 	for i, id := range ids {
 		if together == nil {
-			ends[i] = wire.JobStatus{ID: id, Status: wire.JobDone, Done: done[i]}
-			n.remember(ends[i])
+			ends[i] = endRecord{Status: wire.JobDone, Done: done[i]}
+			n.remember(ends[i].answer(id))
 			continue
 		}
 		if errs[i] = together; errors.Is(together, state.ErrConflict) || errors.Is(together, state.ErrUnknown) {
@@ -156,7 +156,7 @@
 			if errs[i] != nil {
 				r.core.RetryEnd(id)
 			} else {
-				r.core.Ended(id, ends[i].Status, n.now(), n.now())
+				r.core.Ended(id, ends[i].Status, n.now())
 			}
 		}
 		r.effects()
@@ -224,11 +224,7 @@
 
 func (r *reign) deleteKeys(keys []string) {
 	n := r.n
-	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
-	for _, k := range keys {
-		txn.Then = append(txn.Then, wire.Change{Delete: k})
-	}
-	_, err := n.state.Multi(r.ctx, txn)
+	err := r.deleteNow(keys)
 	time.Sleep(time.Second)
 	n.post(func() {
 		r.busyTidy = false
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -49,15 +49,18 @@
 	Status string `msgpack:"S"`
 	At     int64  `msgpack:"A"`
 	Done   int    `msgpack:"D"`
+	// Nobody is told of this end before its job's record is gone. Ends of earlier versions lack
+	// it: their users may have been told.
+	Untold bool `msgpack:"U,omitempty"`
 }
 
-// remember keeps a final answer: it may be given without asking anybody, once it is tellable.
+// answer is what users are told, once they may be.
+func (e *endRecord) answer(id string) wire.JobStatus {
+	return wire.JobStatus{ID: id, Status: e.Status, Done: e.Done}
+}
+
+// remember keeps a final answer that any user may be given without asking anybody.
 func (n *Node) remember(st wire.JobStatus) {
-	if st.Status == wire.JobCancelled {
-		if _, known := n.final(st.ID); known || !n.book.Note(st.ID, n.now()) {
-			return
-		}
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if _, ok := n.finals[st.ID]; ok {
@@ -95,25 +98,17 @@
 	n.known[id] = struct{}{}
 }
 
-func (n *Node) decodeEnd(id string, v msgpack.RawMessage) (wire.JobStatus, error) {
-	var r endRecord
-	if err := wire.Unmarshal(v, &r); err != nil {
-		return wire.JobStatus{}, err
+// decodeEnd reads a stored end. One as done may be told at once.
+func (n *Node) decodeEnd(id string, v msgpack.RawMessage) (e endRecord, err error) {
+	if err = wire.Unmarshal(v, &e); err == nil && e.Status == wire.JobDone {
+		n.remember(e.answer(id))
 	}
-	st := wire.JobStatus{ID: id, Status: r.Status, Done: r.Done}
-	n.remember(st)
-	return st, nil
+	return e, err
 }
 
-// Status implements api.Service.
+// Status implements api.Service. A non-final answer always rests on a fresh look at the
+// job's end: another node may have told the user of it a moment ago.
 func (n *Node) Status(ctx context.Context, id string) (wire.JobStatus, error) {
-	st, err := n.status(ctx, id)
-	return n.tellable(ctx, st, err)
-}
-
-// status is a job's state as it is known here. A non-final answer always rests on a fresh
-// look at the job's end: another node may have told the user of it a moment ago.
-func (n *Node) status(ctx context.Context, id string) (wire.JobStatus, error) {
 	if st, ok := n.final(id); ok {
 		return st, nil
 	}
@@ -131,31 +126,30 @@
 		if wire.Final(v.st.Status) {
 			return v.st, nil
 		}
-		st, err := n.endOf(ctx, id)
-		if err != nil {
-			return st, api.ErrNotNow
+		end, err := n.endOf(ctx, id)
+		switch {
+		case err != nil:
+			return wire.JobStatus{}, api.ErrNotNow
+		case end.Status == wire.JobDone || !v.accepted:
+			n.remember(end.answer(id))
+			return end.answer(id), nil
+		case !end.Untold:
+			return wire.JobStatus{}, api.ErrNotNow
 		}
-		return st, nil
+		return v.st, nil // cancelled, and nobody has been told
 	case !v.accepted:
 		return wire.JobStatus{}, api.ErrUnknown
 	}
 	return v.st, nil
 }
 
-// Submit implements api.Service.
+// Submit implements api.Service: a job is accepted by creating its key, as any node may.
 func (n *Node) Submit(ctx context.Context, j *wire.Job) (wire.JobStatus, bool, error) {
-	st, created, err := n.submit(ctx, j)
-	st, err = n.tellable(ctx, st, err)
-	return st, created, err
-}
-
-// submit accepts a job by creating its key, as any node may.
-func (n *Node) submit(ctx context.Context, j *wire.Job) (wire.JobStatus, bool, error) {
 	if st, ok := n.final(j.ID); ok {
 		return st, false, nil
 	}
 	if n.knows(j.ID) {
-		st, err := n.status(ctx, j.ID)
+		st, err := n.Status(ctx, j.ID)
 		return st, false, err
 	}
 	cat, ok := n.types()
@@ -165,7 +159,7 @@
 	never := sched.Admit(n.set, cat, j)
 	if never != nil {
 		// A known job stays known, whatever the settings say by now.
-		st, err := n.status(ctx, j.ID)
+		st, err := n.Status(ctx, j.ID)
 		if errors.Is(err, api.ErrUnknown) {
 			return st, false, fmt.Errorf("%w: %v", api.ErrNever, never)
 		}
@@ -194,7 +188,7 @@
 		return wire.JobStatus{ID: j.ID, Status: wire.JobQueued}, true, nil
 	case errors.Is(err, state.ErrConflict), errors.Is(err, state.ErrUnknown):
 		// Accepted before, or perhaps just now: read it back.
-		st, err := n.status(ctx, j.ID)
+		st, err := n.Status(ctx, j.ID)
 		if errors.Is(err, api.ErrUnknown) {
 			err = api.ErrNotNow // it may still be applied
 		}
@@ -203,46 +197,26 @@
 	return wire.JobStatus{}, false, api.ErrNotNow
 }
 
-// Cancel implements api.Service.
-func (n *Node) Cancel(ctx context.Context, id string) (wire.JobStatus, error) {
-	st, err := n.withdraw(ctx, id)
-	return n.tellable(ctx, st, err)
-}
-
-// withdraw ends a job as cancelled. Done and cancelled share one key that is created once,
-// so the first one is final.
-func (n *Node) withdraw(ctx context.Context, id string) (wire.JobStatus, error) {
-	st, err := n.status(ctx, id)
-	if err != nil || wire.Final(st.Status) {
-		return st, err
-	}
-	st, err = n.createEnd(ctx, id, wire.JobCancelled, st.Done, nil)
-	if err != nil {
-		return st, api.ErrNotNow
-	}
-	return st, nil
-}
-
 // createEnd creates a job's end or returns the one that exists. An error means
 // that it isn't known whether there is an end.
-func (n *Node) createEnd(ctx context.Context, id, status string, done int, conds []wire.Cond) (wire.JobStatus, error) {
-	rec := endRecord{Status: status, At: n.now(), Done: done}
+func (n *Node) createEnd(ctx context.Context, id, status string, done int, conds []wire.Cond) (endRecord, error) {
+	end := endRecord{Status: status, At: n.now(), Done: done, Untold: status == wire.JobCancelled}
 	st, err := n.unlessEnded(ctx, id, wire.Txn{
 		If:   append(slices.Clone(conds), wire.Cond{Key: endKey(id)}),
-		Then: []wire.Change{{Put: endKey(id), Value: rec}},
+		Then: []wire.Change{{Put: endKey(id), Value: end}},
 	})
-	if err == nil && wire.Final(st.Status) {
-		return st, nil
-	}
-	if err == nil {
-		st := wire.JobStatus{ID: id, Status: status, Done: done}
-		n.remember(st)
-		return st, nil
-	}
-	if errors.Is(err, state.ErrConflict) || errors.Is(err, state.ErrUnknown) {
-		if st, rerr := n.endOf(ctx, id); rerr == nil {
-			return st, nil
+	switch {
+	case err == nil && wire.Final(st.Status):
+		return endRecord{Status: st.Status, Done: st.Done}, nil
+	case err == nil:
+		if status == wire.JobDone {
+			n.remember(end.answer(id))
+		}
+		return end, nil
+	case errors.Is(err, state.ErrConflict), errors.Is(err, state.ErrUnknown):
+		if there, rerr := n.endOf(ctx, id); rerr == nil {
+			return there, nil
 		}
 	}
-	return wire.JobStatus{}, err
+	return endRecord{}, err
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,7 +12,6 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
 
-	"dalefront/internal/horizon"
 	"dalefront/internal/standby"
 	"dalefront/wire"
 )
@@ -40,8 +39,6 @@
 	Ends  int    `msgpack:"e,omitempty"` // in an answer: how often the asking node was started anew lately
 	Grant uint64 `msgpack:"g,omitempty"` // the token of a grant that the sender holds
 
-	Cancelled *horizon.Shared `msgpack:"k,omitempty"` // in greetings and their answers
-
 	View  *standby.View `msgpack:"v,omitempty"` // who stands by, as the overseer or whoever heard it says
 	Unfit bool          `msgpack:"u,omitempty"` // the sender could not follow lately
 
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -166,13 +166,13 @@
 }
 
 // Ended takes a stored end: done or cancelled, final from then on.
-func (c *Core) Ended(id, status string, at, now Micros) {
+func (c *Core) Ended(id, status string, now Micros) {
 	c.now = now
 	j := c.jobs[id]
 	if j == nil || j.ended != "" {
 		return
 	}
-	j.ended, j.endedAt = status, min(at, now)
+	j.ended = status
 	c.over(j, status == wire.JobDone)
 	c.log("job over", "job", id, "class", j.spec.Class, "team", j.spec.Team, "status", status, "tasks", j.spec.Tasks,
 		"age_us", now-j.arrival, "guaranteed", j.guaranteed, "placed_us", max(0, j.placedAt-j.arrival), "first_start_us", max(0, j.first-j.arrival), "late_us", max(0, now-j.due),
@@ -246,7 +246,7 @@
 func (c *Core) tryForget(j *job) {
 	if j.ended != "" && len(j.placements) == 0 && c.jobs[j.id] == j {
 		delete(c.jobs, j.id)
-		c.forget = append(c.forget, j.id)
+		c.forget = append(c.forget, Forgotten{j.id, j.ended})
 		if j.class.sample == j {
 			// keep the shape, not the task state
 			j.class.sample = &job{id: j.id, spec: j.spec, rank: j.rank, team: j.team, class: j.class}
@@ -254,8 +254,11 @@
 	}
 }
 
+// Forgotten is a job that has ended and of which nothing is left on any machine.
+type Forgotten struct{ Job, Status string }
+
 // Forgotten returns the jobs whose working records may be deleted.
-func (c *Core) Forgotten() []string {
+func (c *Core) Forgotten() []Forgotten {
 	f := c.forget
 	c.forget = nil
 	return f
--- a/internal/sched/dump.go
+++ b/internal/sched/dump.go
@@ -14,8 +14,8 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "token %d, write %g\n", c.token, c.bwWrite)
 	for _, j := range c.inOrder(func(*job) bool { return true }) {
-		fmt.Fprintf(&b, "job %s %+v arrived %d due %d done %d %v stored %v dirty %v retry %v cursor %d attempt %d started %v broken %v finishing %v ended %q at %d\n",
-			j.id, specText(j), j.arrival, j.due, j.doneCount, j.done, j.storedDone, slices.Sorted(maps.Keys(j.dirty)), j.retry, j.cursor, j.attempt, j.started, j.broken, j.finishing, j.ended, j.endedAt)
+		fmt.Fprintf(&b, "job %s %+v arrived %d due %d done %d %v stored %v dirty %v retry %v cursor %d attempt %d started %v broken %v finishing %v ended %q\n",
+			j.id, specText(j), j.arrival, j.due, j.doneCount, j.done, j.storedDone, slices.Sorted(maps.Keys(j.dirty)), j.retry, j.cursor, j.attempt, j.started, j.broken, j.finishing, j.ended)
 		for _, p := range j.ordered() {
 			entry := ""
 			if p.entry != nil {
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -147,7 +147,6 @@
 		}
 	}
 	lag := config.Micro(c.set.Deployment.Cloud.ListLagS)
-	cancel := config.Micro(c.set.Deployment.Workers.CancelS)
 	hosts := slices.Clone(c.order)
 	room := &elsewhere{c: c}
 	boots := c.bootsOf()
@@ -157,16 +156,7 @@
 		}
 		quiet := now - max(m.lastHello, c.since)
 		boot := config.Micro(m.kind.BootS)
-		cancelled := false
-		m.each(func(p *placement) {
-			if p.job.ended == wire.JobCancelled && now-p.job.endedAt > cancel/2 {
-				cancelled = true
-			}
-		})
 		switch {
-		case cancelled && quiet > 5*second:
-			// A cancelled task must be gone in time, and here nothing else proves it.
-			back(m, "cancelled task out of reach")
 		case m.failed:
 			back(m, "failed")
 		case blind:
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -180,16 +180,8 @@
 		c.domains.Resumed(now, now-m.lastHello)
 	}
 	m.addr, m.up, m.lost = r.Addr, true, false
-	newSession := r.Session > m.session
-	if newSession {
-		m.confirmed = false
-		// The worker killed and forgot all tasks of the earlier session, and
-		// drops answers to reports of that session.
-		m.each(func(p *placement) {
-			if p.stored {
-				c.free(p)
-			}
-		})
+	if r.Session > m.session {
+		c.forgets(m)
 	}
 	if !m.confirmed && m.n == 0 {
 		m.idleSince, m.gpusIdle = now, now
@@ -212,6 +204,55 @@
 	return a
 }
 
+// Answered takes the report with which a worker answers a direct command. Unlike with a report
+// of its own, an answer to it may be outstanding and bring launches. So what is proven is that a
+// task which was seen on the machine and is listed no more, or as exited, is gone for good,
+// as launches are repeated only until their task is seen; and that nothing of an earlier session
+// is left. It renews no lease, and the machine is as silent as it was.
+func (c *Core) Answered(r *wire.Report, now Micros) {
+	m := c.machines[r.Host]
+	if m == nil || r.Token != c.token || r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+		return
+	}
+	c.now = now
+	if r.Session > m.session {
+		c.forgets(m)
+	}
+	m.session, m.seq = r.Session, r.Seq
+	present := map[*placement]bool{}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		id, num, ok := wire.ParseTask(t.Task)
+		j := c.jobs[id]
+		if !ok || j == nil || int(num) >= j.spec.Tasks {
+			continue
+		}
+		p := m.find(taskKey{j, num}, t.Attempt)
+		if t.State == wire.TaskExited {
+			c.exited(m, j, num, t, p)
+		} else if p != nil {
+			present[p] = true
+		}
+	}
+	m.each(func(p *placement) {
+		if p.stored && p.seen && !present[p] {
+			c.free(p)
+		}
+	})
+	c.nextCheckpoint(m)
+}
+
+// forgets takes a later session of a machine's worker: it killed and forgot all tasks of the
+// earlier one, and drops answers to reports of that session.
+func (c *Core) forgets(m *machine) {
+	m.confirmed = false
+	m.each(func(p *placement) {
+		if p.stored {
+			c.free(p)
+		}
+	})
+}
+
 // observe brings the placements of a machine in line with its report.
 func (c *Core) observe(m *machine, r *wire.Report, a *wire.ReportAnswer) {
 	present := make(map[*placement]bool, len(r.Tasks))
@@ -222,7 +263,7 @@
 		id, num, ok := wire.ParseTask(t.Task)
 		j := c.jobs[id]
 		if !ok || j == nil || int(num) >= j.spec.Tasks {
-			a.Orders = append(a.Orders, Removal(t))
+			a.Orders = append(a.Orders, removal(t))
 			continue
 		}
 		p := m.find(taskKey{j, num}, t.Attempt)
@@ -287,9 +328,9 @@
 	return j.over() || j.isDone(p.task) || j.count[p.task] > 1 || (j.gang() && p.attempt != j.attempt)
 }
 
-// Removal is the order that takes a task off its machine at once, or out of its reports if
+// removal is the order that takes a task off its machine at once, or out of its reports if
 // it has exited.
-func Removal(t *wire.TaskReport) wire.Order {
+func removal(t *wire.TaskReport) wire.Order {
 	if t.State == wire.TaskExited {
 		return wire.Order{Op: wire.Clear, Task: t.Task, Attempt: t.Attempt}
 	}
--- a/internal/sched/silence.go
+++ b/internal/sched/silence.go
@@ -6,6 +6,7 @@
 
 	"dalefront/internal/config"
 	"dalefront/internal/domain"
+	"dalefront/wire"
 )
 
 // Told takes when another controller last heard a machine. It comes with the
@@ -180,6 +181,10 @@
 			part = max(part, j.spec.GPUs/m.kind.GPUs)
 		}
 		idle -= part
+		if j.ended == wire.JobCancelled {
+			gain += part * expect // its user waits for the word that it is gone
+			return
+		}
 		if j.over() || j.isDone(p.task) {
 			return // nobody waits for it
 		}
--- a/internal/sched/tend.go
+++ b/internal/sched/tend.go
@@ -13,11 +13,12 @@
 		most = 8 // most report by themselves meanwhile
 	}
 	for _, m := range c.order {
-		if m.up && !m.confirmed && !m.lost && !m.returning && m.addr != "" && m.session > 0 && pushes < most && c.now-m.pushed > 2*second {
+		if m.up && !m.confirmed && (!m.lost || m.n > 0 && !c.domains.IsCut(m.zone)) && !m.returning && m.addr != "" && m.session > 0 && pushes < most && c.now-m.pushed > 2*second {
 			// Once its worker has seen this token it reports at once, instead of up to a
 			// report's interval later. And it may still report to an older overseer that
 			// is cut off from us and keeps it: it drops that one's answers then, and finds
-			// its way here.
+			// its way here. One that reaches no controller at all may still answer a command:
+			// what it says then frees the places of what it lost with its lease.
 			m.pushed = c.now
 			pushes++
 			c.direct = append(c.direct, Direct{m.addr, wire.DirectOrders{Token: c.token, Session: m.session}})
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -72,7 +72,6 @@
 	length    []Micros // run time of each task
 	saved     []Micros // progress that is kept outside the machines
 	completed []bool
-	cancelled Micros  // when its user was told so
 	final     string  // the final answer that its user was told
 	accepted  bool    // and that it was accepted
 	first     Micros  // when its first task started
@@ -149,9 +148,7 @@
 	j.final = st.Status
 	f.touch(j)
 	f.flush()
-	if st.Status == wire.JobCancelled {
-		j.cancelled = f.now
-	} else if slices.Contains(j.completed, false) {
+	if st.Status == wire.JobDone && slices.Contains(j.completed, false) {
 		f.rule("not done: %s is called done", st.ID)
 	}
 }
@@ -297,22 +294,22 @@
 func (f *Fleet) check() {
 	type use struct{ cpus, gpus float64 }
 	uses := map[string]use{}
-	cancel := config.Micro(f.workers.CancelS)
 	for _, id := range f.ids {
 		m := f.machines[id]
 		if m.dead {
 			continue
 		}
 		for _, t := range m.tasks {
+			// The protocol leaves cancel_s to a cancelled task; a user is told when none is left.
+			if t.job.final == wire.JobCancelled && t.state != wire.TaskExited && !t.blamed {
+				t.blamed = true
+				f.rule("ran cancelled: %s is %s on %s", t.name, t.state, id)
+			}
 			if !t.runs() {
 				continue
 			}
 			u := uses[t.job.Team]
 			uses[t.job.Team] = use{u.cpus + t.job.CPUs, u.gpus + t.job.GPUs}
-			if j := t.job; j.cancelled > 0 && f.now-j.cancelled > cancel && !t.blamed {
-				t.blamed = true
-				f.rule("ran cancelled: %s on %s", t.name, id)
-			}
 		}
 	}
 	for _, t := range f.teams {
@@ -340,8 +337,8 @@
 	if m.spot && !j.Spot || j.Zone != nil && *j.Zone != m.zone || j.Types != nil && !slices.Contains(j.Types, m.typ.Name) {
 		f.rule("wrong place: %s starts on %s", t.name, m.id)
 	}
-	if j.final == wire.JobDone || j.cancelled > 0 && f.now-j.cancelled > config.Micro(f.workers.CancelS) {
-		f.rule("started after its end: %s on %s", t.name, m.id) // a launch may be on its way when its job is cancelled
+	if j.final != "" {
+		f.rule("started after its end: %s on %s", t.name, m.id)
 	}
 }
 
--- a/internal/site/keep.go
+++ b/internal/site/keep.go
@@ -179,9 +179,6 @@
 				return fmt.Errorf("job %s: %w", id, err)
 			}
 			j := &job{Job: x.Job, length: x.Length, saved: x.Saved, completed: x.Completed, final: x.Final, accepted: x.Accepted}
-			if j.final == wire.JobCancelled {
-				j.cancelled = 1 // long ago
-			}
 			f.know(j)
 			return nil
 		})
--- a/internal/site/simulated.go
+++ b/internal/site/simulated.go
@@ -36,14 +36,19 @@
 }
 
 // Command brings direct commands to the worker at an address.
-func (f *Fleet) Command(addr string, d *wire.DirectOrders) {
+func (f *Fleet) Command(addr string, d *wire.DirectOrders) *wire.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id, _, _ := strings.Cut(addr, ":")
 	m := f.machines[id]
-	if m != nil && !m.dead && f.now >= m.hung && m.commanded(d) {
-		m.seq++ // of the report that answers
+	if m == nil || m.dead || f.now < m.hung {
+		return nil
 	}
+	_ = m.commanded(d)
+	changed := m.changed // it reports that to a controller all the same
+	r := m.report()
+	m.changed = changed
+	return &r
 }
 
 // Rent asks the cloud for machines, and is nil if it has none.
