--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -54,16 +54,25 @@
 	if tm == nil {
 		return fmt.Errorf("unknown team %q", j.Team)
 	}
-	fits := false
+	zones := map[string]bool{} // in which a task fits
 	for i := range cat.Types {
-		fits = fits || fitsType(j, &cat.Types[i])
+		if t := &cat.Types[i]; fitsType(j, t) {
+			for _, z := range t.Zones {
+				zones[z] = zones[z] || j.Zone == nil || *j.Zone == z
+			}
+		}
 	}
-	if !fits {
+	maps.DeleteFunc(zones, func(_ string, in bool) bool { return !in })
+	if len(zones) == 0 {
 		return fmt.Errorf("a task fits no allowed machine type")
 	}
 	n := 1.0
 	if j.Shape != wire.Array {
 		n = float64(j.Tasks)
+		// An array may run in halves; these need all their tasks at once.
+		if j.Spread && j.Tasks > 1 && (j.OneZone || len(zones) == 1) {
+			return fmt.Errorf("its tasks must be spread over zones, and may be in one only")
+		}
 	}
 	t := team{Team: *tm}
 	if !t.allows(n*j.CPUs, n*j.GPUs) {
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -160,8 +160,9 @@
 		case m.failed:
 			back(m, "failed")
 		case blind:
-		case m.up && m.listed > 0 && c.listedAt-m.listed > 0 && now-m.born > 4*lag+10*second && quiet > 4*second:
-			// Listed before and no longer: taken or dead; the return proves it.
+		case m.up && c.listedAt > max(m.listed, m.born+4*lag) && now-m.born > 4*lag+10*second && quiet > 4*second:
+			// It was there so long ago that a list would show it, and the newest does not, whether
+			// or not one of this term did: taken or dead; the return proves it.
 			back(m, "no longer listed")
 		case m.lost:
 			if why, ok := c.giveUp(m, room); ok {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -140,6 +140,9 @@
 // guarantee could use the machine right now. Work that is not guaranteed anything
 // would fill it up again as often as it is cleared, and the claimant waits on.
 func (c *Core) claimed(j *job, m *machine) bool {
+	if len(c.claimants) == 0 || c.neglected(j) {
+		return false
+	}
 	for _, o := range c.claimants {
 		if o.rank > j.rank && allowed(o, m) && room(o, m, 1) {
 			return true
@@ -188,7 +191,7 @@
 	if r.rank == j.rank && r.within == j.within && j.behind() && !r.behind() {
 		return false
 	}
-	if m.reservedFor > c.now+worthWaiting && r.rank > j.rank {
+	if (m.reservedFor > c.now+worthWaiting || c.neglected(j)) && r.rank > j.rank {
 		return false // it is evicted when the gang's other machines are there
 	}
 	return m.reservedFor == 0 || j.spec.EstimateS == 0 || c.now+j.estimate()*3/2+Micros(c.fetch(j, m)*float64(second)) > m.reservedFor
@@ -243,6 +246,14 @@
 	return !v.any || j.spec.GPUs > 0 || j.rank > v.rank || (j.rank == v.rank && len(j.class.waits) > 0 && (v.wait == 0 || j.class.waits[0] < v.wait))
 }
 
+// mostNeglect is how long a job may wait with none of its tasks on a machine before whatever
+// room there is will do: nobody is left waiting beside a machine that fits.
+const mostNeglect = 60 * second
+
+func (c *Core) neglected(j *job) bool {
+	return j.waitSince > 0 && c.now-j.waitSince > mostNeglect && (j.gang() || len(j.placements) == 0)
+}
+
 // mayBlockGPUs says whether a task without graphics may go to a graphics
 // machine. It may as long as it leaves what the free GPUs' own tasks need beside
 // them. Beyond that it may if it ranks higher or an aim watches its start, or if
@@ -250,7 +261,7 @@
 // stay. Otherwise small tasks fill the processors of the graphics machines and
 // their GPUs, the dearest part, stand idle.
 func (c *Core) mayBlockGPUs(j *job, m *machine) bool {
-	if c.deserves(j) {
+	if c.deserves(j) || c.neglected(j) {
 		return true
 	}
 	v := &c.gpus
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -115,15 +115,24 @@
 		left := d.slots
 		j := d.job
 		only := ""
+		// Room in a zone that may take no more of the job's tasks doesn't help it.
+		used := map[string]int{}
+		if i < waiting && (j.spec.OneZone || j.spec.Spread) {
+			used = j.zones()
+		}
 		fill := func(b *bin) {
-			if left == 0 || (b.away && i < waiting) || (only != "" && b.zone != only) || (b.spot && !j.spec.Spot) || !fitsType(&j.spec, b.kind) || (j.spec.Zone != nil && *j.spec.Zone != b.zone) {
+			if left == 0 || !zoneOK(j, used, b.zone) || (b.away && i < waiting) || (only != "" && b.zone != only) || (b.spot && !j.spec.Spot) || !fitsType(&j.spec, b.kind) || (j.spec.Zone != nil && *j.spec.Zone != b.zone) {
 				return
 			}
 			if b.kind.GPUs > 0 && j.spec.GPUs == 0 && b.fresh {
 				return
 			}
 			k := min(left, slots(j, b.kind, b.cpus, b.gpus, b.me))
+			if j.spec.Spread {
+				k = min(k, (j.spec.Tasks+1)/2-used[b.zone])
+			}
 			left -= k
+			used[b.zone] += k
 			b.cpus += float64(k) * j.spec.CPUs
 			b.gpus += float64(k) * j.spec.GPUs
 			b.me += float64(k) * j.spec.MemoryGB
@@ -162,7 +171,7 @@
 			bins = slices.DeleteFunc(bins, taken)
 		}
 		for left > 0 && total < *c.set.Operator.MaxMachines && asked < mostAsked {
-			t, zone, spot, ok := c.choose(j, left, only, inZone)
+			t, zone, spot, ok := c.choose(j, left, only, used, inZone)
 			if !ok {
 				break
 			}
@@ -254,7 +263,7 @@
 
 // hirable says whether the zone may have machines for the job, as far as known.
 func (c *Core) hirable(j *job, zone string) bool {
-	_, _, _, ok := c.choose(j, 1, zone, nil)
+	_, _, _, ok := c.choose(j, 1, zone, nil, nil)
 	return ok
 }
 
@@ -263,8 +272,9 @@
 const dearest = 3
 
 // choose picks the type, zone and kind with the least price for a task of the
-// job among those not lately refused, spread over zones.
-func (c *Core) choose(j *job, left int, only string, inZone map[string]int) (*wire.MachineType, string, bool, bool) {
+// job among those not lately refused, spread over zones, in which so many of its tasks
+// are thought to be.
+func (c *Core) choose(j *job, left int, only string, used, inZone map[string]int) (*wire.MachineType, string, bool, bool) {
 	var best *wire.MachineType
 	var zone string
 	var spot bool
@@ -290,7 +300,7 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if (j.spec.Zone != nil && *j.spec.Zone != z) || (only != "" && z != only) || c.domains.IsCut(z) {
+			if (j.spec.Zone != nil && *j.spec.Zone != z) || (only != "" && z != only) || !zoneOK(j, used, z) || c.domains.IsCut(z) {
 				continue // what is rented in a zone that is cut off can't be reached
 			}
 			for _, s := range []bool{true, false} {
--- a/internal/sched/silence.go
+++ b/internal/sched/silence.go
@@ -180,14 +180,15 @@
 		if m.kind.GPUs > 0 {
 			part = max(part, j.spec.GPUs/m.kind.GPUs)
 		}
-		idle -= part
 		if j.ended == wire.JobCancelled {
 			gain += part * expect // its user waits for the word that it is gone
+			idle -= part
 			return
 		}
 		if j.over() || j.isDone(p.task) {
-			return // nobody waits for it
+			return // nobody waits for it: room, which also counts against its team's limit
 		}
+		idle -= part
 		if j.gang() && (j.broken || p.stop) {
 			// Its whole gang waits for this attempt to be gone.
 			gain += part * expect * float64(j.spec.Tasks)
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -65,10 +65,53 @@
 
 // Hang lets machines stop executing anything; they may go on later.
 func (w *World) Hang(n int, length int64) {
+	for _, k := range w.some(n) {
+		k.Hang(w.Now + length)
+	}
+}
+
+// some draws workers, n of them at most.
+func (w *World) some(n int) (out []*worker) {
 	hs := keys(w.workers)
 	for _, i := range w.Rng.Perm(len(hs))[:min(n, len(hs))] {
-		w.workers[hs[i]].Hang(w.Now + length)
+		out = append(out, w.workers[hs[i]])
+	}
+	return out
+}
+
+// Deafen lets answers and commands to machines be lost for a while; their reports arrive.
+func (w *World) Deafen(n int, length int64) {
+	for _, k := range w.some(n) {
+		k.deaf = w.Now + length
+	}
+}
+
+// Silence lets machines reach no controller for a while; commands reach them.
+func (w *World) Silence(n int, length int64) {
+	for _, k := range w.some(n) {
+		k.mute = w.Now + length
+	}
+}
+
+// CancelHung cancels a job at the moment at which its machines begin to hang.
+func (w *World) CancelHung(id string, length int64) {
+	for _, h := range w.fleet.Holding(id) {
+		if k := w.workers[h]; k != nil {
+			k.Hang(w.Now + length)
+		}
+	}
+	w.Cancel(id)
+}
+
+// Settle ends all troubles.
+func (w *World) Settle() {
+	for _, k := range w.workers {
+		k.deaf, k.mute, k.echo = 0, 0, 0
+		k.Hang(0)
 	}
+	w.zones = map[string]*cut{}
+	w.Calm, w.Settled, w.Lose = true, true, nil
+	w.Lag, w.Link = 400_000, 20_000
 }
 
 // KillZone lets all machines of a zone die at once.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -97,6 +97,8 @@
 
 	commit   *sched.Commit
 	commitAt int64
+	stored   bool // it was carried out, and the answer is on its way
+	deletes  []news
 	watch    []news
 	lists    []list
 	hires    []hired
@@ -107,20 +109,26 @@
 	faulty    map[*site.Machine]bool // every task fails on them
 	Log       func(...any)           // gets what the core logs, if set
 	Sound     bool                   // new machines don't fail every task
+	Lag       int64                  // how long a transaction takes at most
+	Link      int64                  // how long a report takes at most, beside what is held back
+	Copies    int                    // one report in so many arrives again later; 0: one in forty
+	Settled   bool                   // all troubles are over
+	Lose      func() bool            // whether the answer to a transaction that is carried out is late
 	Calm      bool                   // nothing is lost, delayed or failed but what a test lets fail
-	Most      int                    // machines that the cloud has
+	Most      int                    // machines that the cloud has, half of them in each zone
 	Returned  int                    // machines given back while tasks ran on them
 	Lost      int                    // tasks that ran when their worker forgot them or their machine was given back
 	Runs      int                    // tasks started
 	Failed    int                    // of these, at once
 	Done      int                    // jobs done
 	Broken    []string
+	number    int // of the last job that a test has made up
 	seen      int // of the rules that the machines saw broken
 }
 
 // New returns a world with the given settings and catalog.
 func New(seed uint64, set *config.Settings, cat wire.Catalog) *World {
-	w := &World{Most: 12,
+	w := &World{Most: 12, Lag: 400_000, Link: 20_000,
 		Rng: rand.New(rand.NewPCG(seed, 1)), Now: 1_000 * second, Set: set, Catalog: cat,
 		workers: map[string]*worker{}, jobs: map[string]wire.Job{}, arrived: map[string]int64{}, ends: map[string]string{},
 		chunks: map[string]map[int]string{}, ledger: map[string]sched.Entry{},
@@ -148,12 +156,18 @@
 func (w *World) Takeover() {
 	w.revision++
 	w.token = w.revision
-	if w.commit != nil && w.Rng.IntN(2) == 0 {
+	if w.commit != nil && !w.stored && w.Rng.IntN(2) == 0 {
 		w.apply(w.commit) // its transaction came before the term changed
 		w.revision++
 		w.token = w.revision
 	}
-	w.commit = nil
+	w.commit, w.stored = nil, false
+	for _, d := range w.deletes {
+		if w.Rng.IntN(2) == 0 {
+			w.delete(d.id) // as did this one
+		}
+	}
+	w.deletes = nil
 	c := sched.New(w.Set, w.token, w.Now, w.Catalog, func(msg string, args ...any) {
 		if w.Log != nil {
 			w.Log(fmt.Sprintf("%.3f s: %s", float64(w.Now)/1e6, msg), args)
@@ -298,7 +312,7 @@
 	r := k.Report()
 	k.waiting, k.gaveUp, k.nonce = true, w.Now+4*second, w.nonce
 	k.nextAt = w.Now + config.Micro(w.Set.Deployment.Workers.ReportS)
-	m := message{at: w.Now + int64(w.Rng.IntN(20_000)), report: r, sent: w.Now, nonce: w.nonce, w: k}
+	m := message{at: w.Now + int64(w.Rng.IntN(int(w.Link))), report: r, sent: w.Now, nonce: w.nonce, w: k}
 	luck := w.Rng.IntN(40)
 	if w.Calm {
 		luck = 39
@@ -313,6 +327,9 @@
 	case 3: // another node renews the lease under the same token, for a while
 		k.echo = w.Now + int64(w.Rng.IntN(int(20*second)))
 	}
+	if w.Copies > 0 && w.Rng.IntN(w.Copies) == 0 {
+		luck = 4
+	}
 	switch luck {
 	case 4: // a copy arrives again, perhaps well over a lease later, in another session or term
 		late := m
@@ -374,13 +391,14 @@
 	}
 	if w.commit == nil && w.Rng.IntN(3) == 0 {
 		if cm := c.Schedule(w.Now); cm != nil {
-			w.commit, w.commitAt = cm, w.Now+int64(w.Rng.IntN(400_000))
+			w.commit, w.commitAt = cm, w.Now+int64(w.Rng.IntN(int(w.Lag)))
+			w.stored = w.Lose != nil && w.Lose() && w.apply(cm)
 		}
 	}
 	if w.commit != nil && w.Now >= w.commitAt {
-		cm := w.commit
-		w.commit = nil
-		if w.Rng.IntN(20) > 0 && w.apply(cm) {
+		cm, stored := w.commit, w.stored
+		w.commit, w.stored = nil, false
+		if stored || (w.Calm || w.Rng.IntN(20) > 0) && w.apply(cm) {
 			c.Committed(cm, w.Now)
 		} else {
 			for _, id := range cm.Jobs {
@@ -419,17 +437,20 @@
 		}
 	}
 	for _, f := range c.Forgotten() {
-		id := f.Job
-		delete(w.jobs, id)
-		delete(w.chunks, id)
-		w.forgotten[id] = true
-		if f.Status == wire.JobCancelled {
-			w.fleet.Told(wire.JobStatus{ID: id, Status: wire.JobCancelled})
+		w.deletes = append(w.deletes, news{f.Job, w.Now + int64(w.Rng.IntN(int(w.Lag)))})
+		if hosts := w.fleet.Holding(f.Job); len(hosts) > 0 {
+			w.broken("forgotten too early: tasks of %s are on %v", f.Job, hosts)
 		}
-		if hosts := w.fleet.Holding(id); len(hosts) > 0 {
-			w.broken("forgotten too early: tasks of %s are on %v", id, hosts)
+	}
+	later := w.deletes[:0]
+	for _, d := range w.deletes {
+		if d.at <= w.Now {
+			w.delete(d.id)
+		} else {
+			later = append(later, d)
 		}
 	}
+	w.deletes = later
 	if w.Rng.IntN(10) == 0 {
 		c.Survey(w.Now, w.controllers())
 		if back := c.Returns(w.Now, c.Blind(w.Now)); len(back) > 0 {
@@ -442,7 +463,7 @@
 	if w.Rng.IntN(20) == 0 {
 		for _, h := range c.Hires(w.Now) {
 			var hosts []string
-			for i := 0; i < h.Count && len(w.workers) < w.Most; i++ {
+			for i := 0; i < h.Count && w.in(h.Zone) < w.Most/2; i++ {
 				k := w.Boot(h.Type, h.Zone, h.Spot)
 				hosts = append(hosts, k.View().Host)
 				if w.Rng.IntN(8) == 0 {
@@ -456,6 +477,16 @@
 	}
 }
 
+// in counts the machines of a zone.
+func (w *World) in(zone string) (n int) {
+	for _, k := range w.workers {
+		if k.View().Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
 // direct brings a core's direct commands to the workers.
 func (w *World) direct(c *sched.Core) {
 	for _, d := range c.Directs() {
@@ -547,4 +578,20 @@
 	seen := w.fleet.Broken()
 	w.Broken = append(w.Broken, seen[w.seen:]...)
 	w.seen = len(seen)
+	if w.Settled {
+		w.fleet.Waits(w.Active())
+	}
+}
+
+// delete deletes a job's record: from then on its user is told that it is cancelled.
+func (w *World) delete(id string) {
+	delete(w.jobs, id)
+	delete(w.chunks, id)
+	w.forgotten[id] = true
+	if w.ends[id] == wire.JobCancelled {
+		w.fleet.Told(wire.JobStatus{ID: id, Status: wire.JobCancelled})
+	}
+	if hosts := w.fleet.Holding(id); len(hosts) > 0 {
+		w.broken("deleted too early: tasks of %s are on %v", id, hosts)
+	}
 }
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -75,6 +75,7 @@
 	final     string  // the final answer that its user was told
 	accepted  bool    // and that it was accepted
 	first     Micros  // when its first task started
+	waits     Micros  // since when it waits though there is room, once troubles are over
 	live      []*task // that have begun; those that no longer run are left out at the next look
 	gang      *gang
 	dirty     bool // not kept yet
@@ -319,6 +320,11 @@
 	}
 }
 
+// allowed says whether the job allows the machine's type, zone and kind.
+func (m *Machine) allowed(j *job) bool {
+	return (j.Spot || !m.spot) && (j.Zone == nil || *j.Zone == m.zone) && (j.Types == nil || slices.Contains(j.Types, m.typ.Name))
+}
+
 // mayStart checks what holds when a task starts.
 func (f *Fleet) mayStart(m *Machine, t *task) {
 	j := t.job
@@ -334,7 +340,7 @@
 			f.rule("wrong place: %s starts in %s while %s is in %s", t.name, m.zone, x.name, x.m.zone)
 		}
 	}
-	if m.spot && !j.Spot || j.Zone != nil && *j.Zone != m.zone || j.Types != nil && !slices.Contains(j.Types, m.typ.Name) {
+	if !m.allowed(j) {
 		f.rule("wrong place: %s starts on %s", t.name, m.id)
 	}
 	if j.final != "" {
--- a/internal/site/machine.go
+++ b/internal/site/machine.go
@@ -344,6 +344,19 @@
 	}
 }
 
+const tiny = 1e-6
+
+// room is what tasks that have not exited leave of the machine.
+func (m *Machine) room() (cpus, gpus, memory float64) {
+	cpus, gpus, memory = m.typ.CPUs, m.typ.GPUs, m.typ.MemoryGB
+	for _, x := range m.tasks {
+		if x.state != wire.TaskExited {
+			cpus, gpus, memory = cpus-x.job.CPUs, gpus-x.job.GPUs, memory-x.job.MemoryGB
+		}
+	}
+	return cpus, gpus, memory
+}
+
 func (m *Machine) launch(o wire.Order) {
 	id, index, ok := wire.ParseTask(o.Task)
 	j := m.f.jobs[id]
@@ -351,7 +364,6 @@
 	if !ok || j == nil || int(index) >= j.Tasks {
 		t.job, t.state, t.cause = &job{}, wire.TaskExited, wire.CauseUnknown
 	}
-	cpus, gpus, memory := m.typ.CPUs, m.typ.GPUs, m.typ.MemoryGB
 	for _, x := range m.tasks {
 		if x.name == o.Task && x.attempt == o.Attempt {
 			return
@@ -359,11 +371,8 @@
 		if x.name == o.Task && x.state != wire.TaskExited {
 			t.state, t.cause = wire.TaskExited, wire.CauseBusy
 		}
-		if x.state != wire.TaskExited {
-			cpus, gpus, memory = cpus-x.job.CPUs, gpus-x.job.GPUs, memory-x.job.MemoryGB
-		}
 	}
-	const tiny = 1e-6
+	cpus, gpus, memory := m.room()
 	if t.state == wire.TaskFetching && (t.job.CPUs > cpus+tiny || t.job.GPUs > gpus+tiny || t.job.MemoryGB > memory+tiny) {
 		t.state, t.cause = wire.TaskExited, wire.CauseNoRoom
 	}
