--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -185,8 +185,12 @@
 	if blind || now-c.since < 20*second {
 		return out
 	}
-	// Idle machines, dearest first, unless they are a spare that the aims need.
+	// Idle machines, dearest first, unless they are a spare that the aims need, or some of
+	// those that a gang waits for while its others boot.
 	need := c.spares(now)
+	for _, j := range c.inOrder(func(j *job) bool { return j.gang() && j.pending() > 0 && c.mayRent(j) }) {
+		need = append(need, demand{j, j.pending()})
+	}
 	reserved := -c.reserve()
 	for _, m := range hosts {
 		if !m.returning && m.confirmed {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -113,6 +113,15 @@
 	return false
 }
 
+// limited says whether its team's limit keeps the job from starting anything now.
+func (j *job) limited() bool {
+	n := 1.0
+	if j.gang() {
+		n = float64(j.pending())
+	}
+	return !j.team.allows(n*j.spec.CPUs, n*j.spec.GPUs)
+}
+
 // view lists, once a pass, the classes by what they may use, and the jobs that
 // wait within their teams' guarantees, one of each class and zone.
 func (c *Core) view(queue []*job) {
@@ -126,7 +135,7 @@
 		if len(c.claimants) == mostClaimants {
 			break
 		}
-		if j.within && j.rank > 0 && !j.suspect() && !slices.ContainsFunc(c.claimants, func(o *job) bool {
+		if j.within && j.rank > 0 && !j.suspect() && !j.limited() && !slices.ContainsFunc(c.claimants, func(o *job) bool {
 			return o.class == j.class && o.spec.Zone == j.spec.Zone && o.spec.Spot == j.spec.Spot
 		}) {
 			c.claimants = append(c.claimants, j)
@@ -194,6 +203,9 @@
 	if (m.reservedFor > c.now+worthWaiting || c.neglected(j)) && r.rank > j.rank {
 		return false // it is evicted when the gang's other machines are there
 	}
+	if c.neglected(j) && m.n == 0 && c.now-m.idleSince > mostNeglect {
+		return false // kept in vain for so long: that gang may wait for what can't be had
+	}
 	return m.reservedFor == 0 || j.spec.EstimateS == 0 || c.now+j.estimate()*3/2+Micros(c.fetch(j, m)*float64(second)) > m.reservedFor
 }
 
@@ -251,7 +263,7 @@
 const mostNeglect = 60 * second
 
 func (c *Core) neglected(j *job) bool {
-	return j.waitSince > 0 && c.now-j.waitSince > mostNeglect && (j.gang() || len(j.placements) == 0)
+	return j.waitSince > 0 && c.now-max(j.waitSince, j.leftAt) > mostNeglect && (j.gang() || len(j.placements) == 0)
 }
 
 // mayBlockGPUs says whether a task without graphics may go to a graphics
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -114,6 +114,9 @@
 			j.broken = true // a running gang that lost a task falls back to its checkpoint
 		}
 	}
+	if len(j.placements) == 0 && p.stored {
+		j.leftAt = c.now
+	}
 	if j.gang() && len(j.placements) == 0 {
 		j.started, j.broken = false, false
 		j.attempt = 0
--- a/internal/sched/why.go
+++ b/internal/sched/why.go
@@ -51,10 +51,6 @@
 	for _, n := range room {
 		w.Room = max(w.Room, n)
 	}
-	n := 1.0
-	if j.gang() {
-		n = float64(w.Tasks)
-	}
 	leaving := false
 	for p := range j.placements {
 		leaving = leaving || p.stop
@@ -67,7 +63,7 @@
 		}
 	case j.gang() && (j.broken || leaving || j.started && len(j.placements) > 0):
 		w.Why = "the last attempt is still leaving"
-	case !j.team.allows(n*j.spec.CPUs, n*j.spec.GPUs):
+	case j.limited():
 		w.Why = "its team's limit"
 	case w.Room == 0 || j.gang() && w.Room < w.Tasks:
 		w.Why = "no room"
--- a/internal/sim/trouble_test.go
+++ b/internal/sim/trouble_test.go
@@ -206,6 +206,7 @@
 						for _, x := range w.Core.Waits(8) {
 							t.Logf("%+v: %+v", x, w.jobs[x.Job])
 						}
+						t.Log(w.Core.Dump())
 						t.Fatalf("seed %d, step %d: %s", seed, step, w.Broken[0])
 					}
 				}
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -72,11 +72,11 @@
 	length    []Micros // run time of each task
 	saved     []Micros // progress that is kept outside the machines
 	completed []bool
-	final     string  // the final answer that its user was told
-	accepted  bool    // and that it was accepted
-	first     Micros  // when its first task started
-	waits     Micros  // since when it waits though there is room, once troubles are over
-	live      []*task // that have begun; those that no longer run are left out at the next look
+	final     string              // the final answer that its user was told
+	accepted  bool                // and that it was accepted
+	first     Micros              // when its first task started
+	beside    map[*Machine]Micros // machines that it could use while it waits, once troubles are over, and since when
+	live      []*task             // that have begun; those that no longer run are left out at the next look
 	gang      *gang
 	dirty     bool // not kept yet
 }
--- a/internal/site/waiting.go
+++ b/internal/site/waiting.go
@@ -9,52 +9,42 @@
 // has room and its team is under its limit.
 const longestWait = 90 * config.Second
 
-// Waits looks at the jobs that have not ended for whether one waits though there is room, and
-// finds a rule broken once that has gone on for too long. It is called from the moment on at
-// which all troubles are over, at least every few seconds.
+// Waits looks at the jobs that have not ended for whether one waits beside machines that have had
+// room for it all the time, and finds a rule broken once that has gone on for too long. It is
+// called from the moment on at which all troubles are over, at least every few seconds.
 func (f *Fleet) Waits(active []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, id := range active {
-		j := f.jobs[id]
-		switch {
-		case j == nil:
-		case !f.couldStart(j):
-			j.waits = 0
-		case j.waits == 0:
-			j.waits = f.now
-		case f.now-j.waits > longestWait:
-			f.rule("left waiting: %s could have started for %d s", id, (f.now-j.waits)/config.Second)
-			j.waits = f.now
+		if j := f.jobs[id]; j != nil && f.leftWaiting(j) {
+			f.rule("left waiting: %s could have started for %d s", id, longestWait/config.Second)
+			j.beside = nil
 		}
 	}
 }
 
-// couldStart says whether a task of the job, or a whole gang, that is nowhere finds room now.
-func (f *Fleet) couldStart(j *job) bool {
-	here := map[int]bool{} // tasks that are on machines
-	zones := map[string]int{}
+// leftWaiting says whether a job of which nothing is on any machine could have started for too
+// long: one of its tasks, or a whole gang, on machines that have had room all the time.
+func (f *Fleet) leftWaiting(j *job) bool {
+	if j.beside == nil {
+		j.beside = map[*Machine]Micros{}
+	}
+	begun := false
 	cpus, gpus := 0.0, 0.0 // of its team
 	for _, m := range f.machines {
 		for _, t := range m.tasks {
 			if m.dead || t.state == wire.TaskExited {
 				continue
 			}
-			if t.job == j {
-				here[t.index] = true
-				zones[m.zone]++
-			}
+			begun = begun || t.job == j
 			if t.job.Team == j.Team {
 				cpus, gpus = cpus+t.job.CPUs, gpus+t.job.GPUs
 			}
 		}
 	}
-	if len(here) > 0 {
-		return false // it has begun, or its last attempt is leaving
-	}
 	missing := 0
-	for i := range j.Tasks {
-		if !here[i] && !j.completed[i] {
+	for _, done := range j.completed {
+		if !done {
 			missing++
 		}
 	}
@@ -62,14 +52,14 @@
 	if j.Shape == wire.Gang {
 		need = missing
 	}
-	if missing == 0 {
-		return false
-	}
+	over := false
 	for _, t := range f.teams {
 		n := float64(need)
-		if t.Name == j.Team && (t.CPUsMax > 0 && cpus+n*j.CPUs > t.CPUsMax+1e-6 || t.GPUsMax > 0 && gpus+n*j.GPUs > t.GPUsMax+1e-6) {
-			return false
-		}
+		over = over || t.Name == j.Team && (t.CPUsMax > 0 && cpus+n*j.CPUs > t.CPUsMax+tiny || t.GPUsMax > 0 && gpus+n*j.GPUs > t.GPUsMax+tiny)
+	}
+	if begun || missing == 0 || over {
+		clear(j.beside)
+		return false
 	}
 	most := j.Tasks // in a zone
 	if j.Spread {
@@ -77,10 +67,14 @@
 	}
 	places := map[string]int{}
 	for _, m := range f.machines {
-		if len(zones) > 0 && j.OneZone && zones[m.zone] == 0 {
-			continue
+		switch n, since := m.places(j), j.beside[m]; {
+		case n == 0:
+			delete(j.beside, m)
+		case since == 0:
+			j.beside[m] = f.now
+		case f.now-since > longestWait:
+			places[m.zone] = min(places[m.zone]+n, most)
 		}
-		places[m.zone] = min(places[m.zone]+m.places(j), most-zones[m.zone])
 	}
 	all, best := 0, 0
 	for _, n := range places {
