A place that was only tried leaves a machine as idle as it was

A gang that can't be complete placed and took back its tasks in each pass, and so kept machines looking as if just used: they neither went back nor went to others. A gang's room counts no more of a zone than spreading allows.

--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -92,8 +92,13 @@
 func (c *Core) gangZones(j *job, missing int) []string {
 	used := j.zones()
 	room, like := map[string]int{}, map[string]float64{}
+	share := map[string]int{} // of a zone, for tasks that are to be spread
 	for _, m := range c.roomy {
 		n := c.slotsOn(j, m, used)
+		if j.spec.Spread {
+			n = max(0, min(n, (j.spec.Tasks+1)/2-used[m.zone]-share[m.zone]))
+			share[m.zone] += n
+		}
 		if n == 0 {
 			continue
 		}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -93,9 +93,13 @@
 	}
 	if m.n == 0 {
 		m.cpus, m.gpus, m.mem, m.byRank = 0, 0, 0, [4]use{}
+	}
+	// A place that was only tried, or whose launch was refused, leaves a machine as idle as it was:
+	// a gang that can't be complete tries in each pass.
+	if m.n == 0 && p.stored {
 		m.idleSince = c.now
 	}
-	if c.deserves(j) {
+	if c.deserves(j) && p.stored {
 		m.gpusIdle = c.now
 	}
 	if j.count[p.task]--; j.count[p.task] <= 0 {
