Test the meetings at the users' doors; answer malformed repeats; take one's own term back

Found by reading, each with a test: a malformed repeat of a known job got 400 (it gets the job's state; 503 while nobody can tell); a process that took the term without being told so waited until its lease had run out under the key that names it (its own term, under which nobody acts, is replaced at once). Users in tests give up after 300 ms where the worker reports only in between.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -114,7 +114,7 @@
 		}
 		j, err := wire.ParseJob(b)
 		if err != nil {
-			refuse(w, err)
+			repeated(ctx, w, s, j, err)
 			return
 		}
 		st, created, err := s.Submit(ctx, j)
@@ -169,6 +169,22 @@
 	return mux
 }
 
+// repeated answers a malformed submission. A job that was accepted stays known, whatever its
+// repeat looks like; and while nobody can tell whether it was, it is not refused for good.
+func repeated(ctx context.Context, w http.ResponseWriter, s Service, j *wire.Job, why error) {
+	if j != nil {
+		st, err := s.Status(ctx, j.ID)
+		if err == nil {
+			reply(w, http.StatusOK, st)
+			return
+		}
+		if !errors.Is(err, ErrUnknown) {
+			why = err
+		}
+	}
+	refuse(w, why)
+}
+
 func answer(w http.ResponseWriter, r *http.Request, ask func(string) (wire.JobStatus, error)) {
 	id := r.PathValue("id")
 	if !wire.ValidID(id) || strings.ContainsRune(id, '/') {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -15,8 +16,9 @@
 
 // fake answers as told and records what was submitted.
 type fake struct {
-	err  error
-	jobs []*wire.Job
+	err   error
+	jobs  []*wire.Job
+	asked error // what a question about a job gets
 }
 
 func (f *fake) Submit(_ context.Context, j *wire.Job) (wire.JobStatus, bool, error) {
@@ -24,7 +26,7 @@
 	return wire.JobStatus{ID: j.ID, Status: wire.JobQueued}, len(f.jobs) == 1, f.err
 }
 func (f *fake) Status(_ context.Context, id string) (wire.JobStatus, error) {
-	return wire.JobStatus{ID: id, Status: wire.JobRunning}, f.err
+	return wire.JobStatus{ID: id, Status: wire.JobRunning}, cmp.Or(f.asked, f.err)
 }
 func (f *fake) Cancel(_ context.Context, id string) (wire.JobStatus, error) {
 	return wire.JobStatus{ID: id, Status: wire.JobCancelled}, f.err
@@ -72,7 +74,7 @@
 
 // Malformed submissions get 400 over a real socket, good ones 201, then 200.
 func TestSubmit(t *testing.T) {
-	f := &fake{}
+	f := &fake{asked: ErrUnknown}
 	url := serve(t, f) + wire.PathJobs
 	bad := map[string]func(m map[string]any){
 		"negative":     func(m map[string]any) { m["Cores"] = -1.0 },
@@ -114,6 +116,74 @@
 	}
 }
 
+// Each field as PROTOCOL has it: which may be omitted or null, and which kinds it takes.
+func TestFields(t *testing.T) {
+	text, amount, count, flag := "text", "amount", "count", "flag"
+	fields := map[string]struct {
+		kind string
+		null bool
+	}{
+		"Id": {text, false}, "Jobclass": {text, false}, "Owner": {text, false}, "Shape": {text, false}, "Urgency": {text, false},
+		"Pieces": {count, false}, "Cores": {amount, false}, "Gpus": {amount, false}, "RamGb": {amount, false},
+		"Builds": {"list", true}, "District": {text, true}, "SamePlace": {flag, false}, "Spread": {flag, false}, "Loaners": {flag, false},
+		"Bundle": {text, false}, "SizeGb": {amount, false}, "ExpectedS": {amount, false}, "SnapshotEveryS": {amount, false},
+		"SnapshotS": {amount, false}, "DueS": {amount, true},
+	}
+	kinds := map[string][]any{
+		text: {"x"}, amount: {1.5, float32(0.5)}, count: {2, uint64(3)}, flag: {true, false}, "list": {[]string{"s"}, []string{}},
+		"map": {map[string]int{}}, "none": {nil},
+	}
+	ask := func(m map[string]any) int {
+		b, _ := wire.Marshal(m)
+		resp, _ := send(t, http.MethodPost, serve(t, &fake{asked: ErrUnknown})+wire.PathJobs, b)
+		return resp.StatusCode
+	}
+	for name, x := range fields {
+		want := http.StatusBadRequest
+		if x.null {
+			want = http.StatusCreated
+		}
+		m := job()
+		delete(m, name)
+		if got := ask(m); got != want {
+			t.Errorf("without %s: %d, want %d", name, got, want)
+		}
+		for kind, values := range kinds {
+			for _, v := range values {
+				want := http.StatusBadRequest
+				switch {
+				case kind == "none" && x.null, kind == x.kind, kind == count && x.kind == amount:
+					want = http.StatusCreated
+				}
+				if name == "Id" || name == "Shape" || name == "Urgency" {
+					want = http.StatusBadRequest // no text of that form
+				}
+				m := job()
+				m[name] = v
+				if got := ask(m); got != want {
+					t.Errorf("%s as %s %v: %d, want %d", name, kind, v, got, want)
+				}
+			}
+		}
+	}
+}
+
+// A malformed repeat of a job that was accepted is not refused: not with 400 if it is known, and
+// not for good if nobody can tell.
+func TestMalformedRepeat(t *testing.T) {
+	for _, c := range []struct {
+		asked error
+		code  int
+	}{{nil, 200}, {ErrUnknown, 400}, {ErrNotNow, 503}} {
+		m := job()
+		delete(m, "Loaners")
+		b, _ := wire.Marshal(m)
+		if resp, _ := send(t, http.MethodPost, serve(t, &fake{asked: c.asked})+wire.PathJobs, b); resp.StatusCode != c.code {
+			t.Errorf("asked about it: %v; got %d, want %d", c.asked, resp.StatusCode, c.code)
+		}
+	}
+}
+
 // Every refusal has its status, and those that may be asked again say when.
 func TestStatuses(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -58,12 +58,12 @@
 // the token: every change of the state service raises the revision, so tokens
 // only rise.
 //
-// A term that names this node, but was not taken by this process, is one that an
-// earlier process has left: this one listens on the node's addresses, which only one
-// process can, so the other has ended. It is replaced at once instead of after the hold
-// has run out. What the earlier process has sent may still arrive, as it may after any
-// takeover: its writes are conditional on the version that is replaced, its launches are
-// in the ledger, and its word to workers carries its lower token.
+// A term that names this node here is one under which nobody acts: an earlier process has
+// left it (this one listens on the node's addresses, which only one process can, so the other
+// has ended), or this process took it and was not told so, or has given it up. It is replaced
+// at once instead of after the hold has run out. What was sent under it may still arrive, as
+// it may after any takeover: writes are conditional on the version that is replaced, launches
+// are in the ledger, and any word to workers carries the lower token.
 func (n *Node) termLoop(ctx context.Context) {
 	ttl := time.Duration(*n.set.Operator.TermS * float64(time.Second))
 	for ctx.Err() == nil && !n.draining.Load() {
@@ -72,12 +72,12 @@
 			rest(ctx, 400*time.Millisecond)
 			continue
 		}
-		left := uint64(0) // version of a term that an ended process has left
+		left := uint64(0) // version of a term that nobody acts under any more
 		if found {
 			var t termRecord
 			_ = wire.Unmarshal(e.Value, &t)
 			n.learn(t.Node, e.Version)
-			if (t.Node != n.set.Label || t.Born == n.born) && !n.awaitDrop(ctx, e.Version) {
+			if t.Node != n.set.Label && !n.awaitDrop(ctx, e.Version) {
 				continue
 			}
 			left = e.Version
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -92,6 +92,19 @@
 	return strings.TrimPrefix(srv.URL, "http://")
 }
 
+// filter stands between a node and the services, and refuses what does not pass.
+func filter(t testing.TB, services string, passes func(*http.Request) bool) string {
+	srv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if !passes(r) {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		forward(rw, r, services)
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
 // waiting does something before an answer goes out.
 type waiting struct {
 	http.ResponseWriter
@@ -209,6 +222,7 @@
 		return len(m.tasks) == 1 && chief >= 0
 	})
 	m.renewed = time.Now()
+	m.patience = impatient
 	m.beats(1500*time.Millisecond, chief, nil)
 	return chief
 }
@@ -221,6 +235,9 @@
 	}
 }
 
+// impatient is for how long a user waits whose worker reports only in between.
+const impatient = 300 * time.Millisecond
+
 // for how long, at least.
 func (m *meet) beats(d time.Duration, i int, also func()) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(150 * time.Millisecond) {
--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -44,6 +44,9 @@
 	tasks map[string]wire.TaskReport // of the one worker
 	clear map[string]bool            // tasks that were cleared when they were done
 	token uint64
+	// For how long a user waits, 0 for any time: where the worker reports in between the
+	// questions it must, as it is told to stop a cancelled task in the meantime.
+	patience time.Duration
 
 	session, seq uint64 // of its next report
 }
@@ -105,12 +108,15 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := (&http.Client{Timeout: c.patience}).Do(req)
 	if err != nil {
 		return 0, nil
 	}
 	defer resp.Body.Close()
-	body, _ := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
 	if out != nil && resp.StatusCode < 300 {
 		if err := wire.Unmarshal(body, out); err != nil {
 			c.t.Fatal(err)
--- a/internal/site/services.go
+++ b/internal/site/services.go
@@ -41,6 +41,8 @@
 	holdKey  string
 	held     []txn
 	late     func() (time.Duration, bool)
+	lose     func(keys []string) bool
+	asked    int
 
 	kept       *keeper
 	dirty      []string // keys that have changed and are not kept yet
@@ -116,6 +118,30 @@
 	s.late = late
 }
 
+// LoseAnswers asks a function, for each transaction that changes something, whether it is carried
+// out at once without an answer; it gets the keys that are changed. It holds no lock of the
+// services. nil: none is lost.
+func (s *Services) LoseAnswers(lose func(keys []string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = lose
+}
+
+// AskedChanges counts the changes that were asked for, as the service counts them for its limit.
+func (s *Services) AskedChanges() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
+// Holds says whether a lease has not ended.
+func (s *Services) Holds(lease uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.holds[lease]
+	return ok
+}
+
 // Arrive executes what was held back.
 func (s *Services) Arrive() {
 	s.mu.Lock()
@@ -140,6 +166,13 @@
 	s.holdKey = key
 }
 
+func (t *txn) changes() (keys []string) {
+	for _, c := range t.Then {
+		keys = append(keys, c.Put+c.Delete)
+	}
+	return keys
+}
+
 func (t *txn) writes(key string) bool {
 	for _, c := range t.Then {
 		if c.Put == key {
@@ -341,7 +374,12 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	s.asked += len(t.Then)
+	lost := s.lose != nil && len(t.Then) > 0 && s.lose(t.changes())
 	code, a := s.apply(&t)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
 	if s.mute > 0 && len(t.Then) > 0 && code == 200 {
 		s.mute--
 		panic(http.ErrAbortHandler) // executed, but nobody is told
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -114,7 +114,8 @@
 	return x
 }
 
-// ParseJob decodes and checks a submission. Its errors wrap ErrMalformed.
+// ParseJob decodes and checks a submission. Its errors wrap ErrMalformed; then the job has no
+// more than its id, if that is valid, and is nil otherwise.
 func ParseJob(body []byte) (*Job, error) {
 	r := bytes.NewReader(body)
 	dec := msgpack.NewDecoder(r)
@@ -176,8 +177,11 @@
 			j.Types = append(j.Types, s)
 		}
 	}
-	if f.err != nil {
-		return nil, f.err
+	switch {
+	case f.err == nil:
+		return j, nil
+	case ValidID(j.ID):
+		return &Job{ID: j.ID}, f.err
 	}
-	return j, nil
+	return nil, f.err
 }
