--- a/internal/node/standstill_test.go
+++ b/internal/node/standstill_test.go
@@ -48,6 +48,29 @@
 	}
 }
 
+// What is said to the cloud is not conditional on the term: a leader that the state service
+// refuses, or doesn't answer, may have been replaced, and machines that work for the next one
+// look silent to it. It returns none, however long that lasts. It once returned any as soon as
+// it had been refused for three seconds.
+func TestNothingIsReturnedUnderATermInDoubt(t *testing.T) {
+	for _, code := range []int{200, 409, 429, 503, 0} {
+		n := testNode(t, func(w http.ResponseWriter, r *http.Request) {
+			if code == 0 {
+				panic(http.ErrAbortHandler)
+			}
+			w.WriteHeader(code)
+			_, _ = w.Write([]byte{0x80})
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		r := &reign{n: n, token: 5, ctx: ctx, cancel: cancel}
+		n.beat.Store(n.now())
+		if got := r.mine(); got != (code == 200) {
+			t.Errorf("the service answers %d: may return machines %v", code, got)
+		}
+	}
+}
+
 // A worker whose report nobody can take is sent on to a node that is alive: left to
 // try them in turn it may meet two silent ones, and its lease runs out.
 func TestSentPastSilentNodes(t *testing.T) {
--- /dev/null
+++ b/internal/sched/proof_test.go
@@ -0,0 +1,165 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
+
+// What a worker says to a direct command proves less than a report of its own: the answer to
+// one may be outstanding and bring a launch. Of what was seen it proves that it is gone.
+func TestAnswersToCommandsProve(t *testing.T) {
+	at := func(b *bed, token, session, seq uint64, tasks ...wire.TaskReport) {
+		b.Answered(&wire.Report{Host: "n-1", Addr: "n-1", Type: "s", Zone: "x", Session: session, Seq: seq, Token: token, Tasks: tasks}, b.now)
+	}
+	begin := func() *bed {
+		b := newBed(t, config.Team{Name: "a"})
+		b.report("n-1", "s", "x", 1)
+		b.AddJob(spec("j-1", "a", wire.Low, 2, 2), b.now, b.now)
+		b.schedule()
+		if got := ops(b.report("n-1", "s", "x", 1), wire.Launch); len(got) != 2 {
+			t.Fatalf("launched %v", got)
+		}
+		return b
+	}
+	left := func(b *bed) int { return b.machines["n-1"].n }
+	b := begin()
+	at(b, 7, 1, b.seq+1)
+	if left(b) != 2 {
+		t.Fatal("tasks were freed whose launch may be on its way")
+	}
+	b.seq++
+	running := b.running("n-1")
+	b.report("n-1", "s", "x", 1, running...)
+	b.Ended("j-1", wire.JobCancelled, b.now)
+	exited := slices.Clone(running)
+	for i := range exited {
+		exited[i].State, exited[i].Cause = wire.TaskExited, wire.CauseStopped
+	}
+	for what, say := range map[string]func(){
+		"older than its last report":     func() { at(b, 7, 1, b.seq, exited...) },
+		"of a worker that has not heard": func() { at(b, 6, 1, b.seq+1, exited...) },
+		"still running":                  func() { at(b, 7, 1, b.seq+1, running...); b.seq++ },
+	} {
+		if say(); left(b) != 2 {
+			t.Fatalf("an answer %s freed tasks", what)
+		}
+	}
+	at(b, 7, 1, b.seq+1, exited[0], running[1])
+	if left(b) != 1 {
+		t.Errorf("%d tasks after one was said to have exited", left(b))
+	}
+	at(b, 7, 1, b.seq+2, exited[0])
+	if f := b.Forgotten(); left(b) != 0 || !slices.Equal(f, []Forgotten{{"j-1", wire.JobCancelled}}) {
+		t.Errorf("%d tasks are left, forgotten %v, when the other is gone from the list", left(b), f)
+	}
+	b = begin()
+	at(b, 7, 2, 1)
+	if left(b) != 0 {
+		t.Error("a later session's answer leaves what the earlier one held")
+	}
+	if heard := b.machines["n-1"]; heard.confirmed {
+		t.Error("launches may go to a session that has not reported")
+	}
+}
+
+// A machine that only the ledger names, and that no list of this term shows, is taken or dead:
+// a job that was done kept its places, against its team's limit, for ever.
+func TestMachineThatWasNeverListed(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.AddJob(spec("j-1", "a", wire.Low, 1, 2), b.now, b.now)
+	b.Load(map[string]Entry{"e": {Hosts: []EntryHost{{Host: "n-9", Addr: "n-9", Type: "s", Zone: "x", Session: 1}}, Runs: []Run{{Host: 0, Job: "j-1", Attempt: 5, Tasks: []int32{0}}}}})
+	b.Ended("j-1", wire.JobDone, b.now)
+	returned := false
+	for range 40 { // the list lags 5 s, at times 10
+		b.now += second
+		b.Machines(nil, b.now)
+		back := b.Returns(b.now, false)
+		returned = returned || slices.Contains(back, "n-9")
+		if returned && b.now-b.since < 20*second {
+			t.Fatal("returned while a list that lags need not show it")
+		}
+	}
+	if !returned {
+		t.Error("never returned")
+	}
+}
+
+// What is rented for tasks that have to be spread is rented where they may go: room for all of
+// them in one zone was taken for enough, and a gang waited for ever.
+func TestSpreadRents(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	for _, h := range []string{"n-1", "n-2", "n-3"} {
+		b.report(h, "s", "x", 1)
+	}
+	j := spec("j-1", "a", wire.High, 4, 4)
+	j.Shape, j.Spread = wire.Gang, true
+	b.AddJob(j, b.now, b.now)
+	b.now += 5 * second
+	b.Machines(nil, b.now)
+	for _, h := range []string{"n-1", "n-2", "n-3"} {
+		b.report(h, "s", "x", 1)
+	}
+	if b.schedule() != nil {
+		t.Fatal("placed in one zone")
+	}
+	in := map[string]int{}
+	for _, h := range b.Hires(b.now) {
+		in[h.Zone] += h.Count
+	}
+	if in["y"] == 0 || in["x"] > 0 {
+		t.Errorf("rented %v", in)
+	}
+}
+
+// A job that no placement can ever satisfy is not accepted; one that can run in parts is.
+func TestImpossible(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a", CPUsMax: 16})
+	x := "x"
+	for _, c := range []struct {
+		what, shape         string
+		tasks               int
+		zone                *string
+		oneZone, spread, ok bool
+	}{
+		{"a gang in one zone", wire.Gang, 2, nil, true, false, true},
+		{"a gang spread", wire.Gang, 2, nil, false, true, true},
+		{"a gang in one zone and spread", wire.Gang, 2, nil, true, true, false},
+		{"a lone task in one zone and spread", wire.Gang, 1, nil, true, true, true},
+		{"a gang spread in a zone", wire.Gang, 2, &x, false, true, false},
+		{"a service spread in a zone", wire.Service, 2, &x, false, true, false},
+		{"an array spread in a zone, a half at a time", wire.Array, 2, &x, false, true, true},
+		{"an array in one zone and spread", wire.Array, 4, nil, true, true, true},
+		{"a gang beyond the limit", wire.Gang, 5, nil, false, false, false},
+		{"an array beyond the limit, a few at a time", wire.Array, 5, nil, false, false, true},
+	} {
+		j := spec("j-1", "a", wire.Normal, c.tasks, 4)
+		j.Shape, j.Zone, j.OneZone, j.Spread = c.shape, c.zone, c.oneZone, c.spread
+		cat := wire.Catalog{}
+		for _, n := range []string{"s", "g"} {
+			cat.Types = append(cat.Types, *b.types[n])
+		}
+		b.set.Deployment.Teams = []config.Team{{Name: "a", CPUsMax: 16}}
+		if err := Admit(b.set, cat, &j); (err == nil) != c.ok {
+			t.Errorf("%s: %v", c.what, err)
+		}
+	}
+}
+
+// Work that waits within its team's guarantee but at its team's limit can't start: it keeps no
+// machine from others.
+func TestLimitedClaimNothing(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a", CPUs: 100, CPUsMax: 4}, config.Team{Name: "b"})
+	b.report("n-1", "s", "x", 1)
+	b.AddJob(spec("j-1", "a", wire.High, 3, 4), b.now, b.now)
+	b.AddJob(spec("j-2", "b", wire.Low, 1, 4), b.now, b.now)
+	b.schedule()
+	b.report("n-1", "s", "x", 1, b.running("n-1")...)
+	b.now += second
+	b.schedule()
+	if n := len(b.jobs["j-2"].placements); n != 1 {
+		t.Errorf("%d tasks of the other team have a place beside work that may not start", n)
+	}
+}
--- a/internal/sim/answers_test.go
+++ b/internal/sim/answers_test.go
@@ -354,6 +354,36 @@
 	c.until("what is left runs", func() bool { step(); return len(c.tasks) == min(4, jobs-len(u.final)) })
 }
 
+// Ends that an earlier version stored may have been told at once: while the job's record is there
+// nobody is told anything else, and afterwards that it is cancelled.
+func TestEndOfAnEarlierVersion(t *testing.T) {
+	c := newCluster(t, 2, func(*config.Settings) {})
+	c.until("a leader", func() bool { return c.report(0) == 200 })
+	c.svc.Set("q/e/j-9", map[string]any{"S": wire.JobCancelled, "A": 5})
+	c.svc.Set("q/a/j-9", map[string]any{"J": map[string]any{"Id": "j-9"}})
+	ask := func(i int, op string) (int, string) {
+		var st wire.JobStatus
+		code, _ := c.ask(i, op, wire.PathJobs+map[string]string{http.MethodGet: "/j-9", http.MethodPost: "/j-9/" + wire.CancelVerb}[op], nil, &st)
+		return code, st.Status
+	}
+	for i := range c.addrs {
+		if code, st := ask(i, http.MethodGet); code != 503 {
+			t.Errorf("node %d: asked: %d %s", i, code, st)
+		}
+		if code, st := ask(i, http.MethodPost); code != 503 {
+			t.Errorf("node %d: cancelled: %d %s", i, code, st)
+		}
+	}
+	c.svc.Delete("q/a/j-9")
+	for i := range c.addrs {
+		for _, op := range []string{http.MethodGet, http.MethodPost} {
+			if code, st := ask(i, op); code != 200 || st != wire.JobCancelled {
+				t.Errorf("node %d: %s once its record is gone: %d %s", i, op, code, st)
+			}
+		}
+	}
+}
+
 // One-task jobs, a quarter of them cancelled: what one costs the state service in changes, from
 // its submission to the last deletion, is within what a site with 25 changes a second takes at
 // four jobs a second.
