--- a/internal/sim/answers_test.go
+++ b/internal/sim/answers_test.go
@@ -354,6 +354,27 @@
 	c.until("what is left runs", func() bool { step(); return len(c.tasks) == min(4, jobs-len(u.final)) })
 }
 
+// A job is cancelled, and the leader's watch has not brought it: the launch that it decides is not
+// stored, its task never starts, and the user is told.
+func TestNoLaunchAfterTheEnd(t *testing.T) {
+	c := newCluster(t, 1, func(*config.Settings) {})
+	c.until("a leader", func() bool { return c.overseer(0) })
+	c.until("accepted", func() bool {
+		code, _ := c.ask(0, http.MethodPost, wire.PathJobs, c.submission("j-1", 1), nil)
+		return code/100 == 2
+	})
+	c.svc.Set("q/e/j-1", map[string]any{"S": wire.JobCancelled, "A": 5, "U": true}) // nobody watching is told
+	c.until("a user is told", func() bool {
+		c.report(0)
+		if len(c.tasks) > 0 {
+			t.Fatalf("launched after its end: %v", c.tasks)
+		}
+		var st wire.JobStatus
+		code, _ := c.ask(0, http.MethodGet, wire.PathJobs+"/j-1", nil, &st)
+		return code == 200 && st.Status == wire.JobCancelled
+	})
+}
+
 // Ends that an earlier version stored may have been told at once: while the job's record is there
 // nobody is told anything else, and afterwards that it is cancelled.
 func TestEndOfAnEarlierVersion(t *testing.T) {
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -297,6 +297,28 @@
 	}
 }
 
+// All controllers are away for longer than a lease, and come back: the worker has forgotten its
+// tasks in the meantime and begun another session. The task is started once more, and a
+// cancellation of it is told when it is gone.
+func TestAllAway(t *testing.T) {
+	m := newMeet(t, 40, 3)
+	m.begin()
+	for i := range m.stop {
+		m.stop[i]()
+	}
+	time.Sleep(meetLease + meetLease/4)
+	for i := range m.stop {
+		m.start(i)
+	}
+	session := m.session
+	m.until("the task runs again", func() bool { m.beat(0); return m.session > session && m.runs() })
+	m.until("a user is told", func() bool {
+		m.beat(1)
+		m.cancel(2)
+		return m.told
+	})
+}
+
 // A transaction with progress gets no answer and is executed after a newer one of the same
 // overseer. It once took back what the newer one had stored, after the worker had been told
 // to clear it, and the next overseer started tasks that were done.
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -42,6 +42,7 @@
 	ids      []string            // in the order of creation
 	hires    map[string][]string // answers to rental requests
 	lists    []listed
+	waitsAt  Micros // when it was last looked for jobs that are left waiting
 	jobs     map[string]*job
 	gangs    []*job // of these, in the order of arrival
 	broken   []string
@@ -291,9 +292,11 @@
 	}
 }
 
+// use is what tasks take.
+type use struct{ cpus, gpus float64 }
+
 // check looks at the rules that concern a moment.
 func (f *Fleet) check() {
-	type use struct{ cpus, gpus float64 }
 	uses := map[string]use{}
 	for _, id := range f.ids {
 		m := f.machines[id]
--- a/internal/site/front.go
+++ b/internal/site/front.go
@@ -62,6 +62,9 @@
 // killed controller starts again after the time; what can end ends after it. It
 // returns what it was done to.
 func (s *Site) Fault(kind, name string, d time.Duration) (string, error) {
+	until := time.Now().Add(d).UnixNano()
+	for was := s.troubled.Load(); until > was && !s.troubled.CompareAndSwap(was, until); was = s.troubled.Load() {
+	}
 	switch kind {
 	case "outage":
 		s.Services.SetDown(true)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,6 +56,7 @@
 	kept        *keeper
 	cuts        zoneCuts
 	begun       time.Time
+	troubled    atomic.Int64 // until when something bad was done to the site, as a time of day in nanoseconds
 	running     sync.WaitGroup
 
 	mu      sync.Mutex
@@ -204,6 +206,9 @@
 	s.running.Go(func() {
 		for synced := s.begun; s.ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
 			s.Fleet.Step(time.Since(s.begun).Microseconds())
+			if time.Now().UnixNano() > s.troubled.Load() {
+				s.Fleet.Waits(nil)
+			}
 			if s.kept != nil && time.Since(synced) >= time.Second {
 				synced = time.Now()
 				if err := s.kept.db.Sync(); err != nil {
--- a/internal/site/waiting.go
+++ b/internal/site/waiting.go
@@ -11,12 +11,35 @@
 
 // Waits looks at the jobs that have not ended for whether one waits beside machines that have had
 // room for it all the time, and finds a rule broken once that has gone on for too long. It is
-// called from the moment on at which all troubles are over, at least every few seconds.
+// called from the moment on at which all troubles are over, at least every few seconds, with the
+// jobs to be looked at; nil stands for those that were accepted and of which no end was told. It
+// looks once a second.
 func (f *Fleet) Waits(active []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.now-f.waitsAt < config.Second {
+		return
+	}
+	f.waitsAt = f.now
+	if active == nil {
+		for id, j := range f.jobs {
+			if j.accepted && j.final == "" {
+				active = append(active, id)
+			}
+		}
+	}
+	begun, uses := map[*job]bool{}, map[string]use{}
+	for _, m := range f.machines {
+		for _, t := range m.tasks {
+			if !m.dead && t.state != wire.TaskExited {
+				begun[t.job] = true
+				u := uses[t.job.Team]
+				uses[t.job.Team] = use{u.cpus + t.job.CPUs, u.gpus + t.job.GPUs}
+			}
+		}
+	}
 	for _, id := range active {
-		if j := f.jobs[id]; j != nil && f.leftWaiting(j) {
+		if j := f.jobs[id]; j != nil && f.leftWaiting(j, begun[j], uses[j.Team]) {
 			f.rule("left waiting: %s could have started for %d s", id, longestWait/config.Second)
 			j.beside = nil
 		}
@@ -25,23 +48,10 @@
 
 // leftWaiting says whether a job of which nothing is on any machine could have started for too
 // long: one of its tasks, or a whole gang, on machines that have had room all the time.
-func (f *Fleet) leftWaiting(j *job) bool {
+func (f *Fleet) leftWaiting(j *job, begun bool, team use) bool {
 	if j.beside == nil {
 		j.beside = map[*Machine]Micros{}
 	}
-	begun := false
-	cpus, gpus := 0.0, 0.0 // of its team
-	for _, m := range f.machines {
-		for _, t := range m.tasks {
-			if m.dead || t.state == wire.TaskExited {
-				continue
-			}
-			begun = begun || t.job == j
-			if t.job.Team == j.Team {
-				cpus, gpus = cpus+t.job.CPUs, gpus+t.job.GPUs
-			}
-		}
-	}
 	missing := 0
 	for _, done := range j.completed {
 		if !done {
@@ -55,7 +65,7 @@
 	over := false
 	for _, t := range f.teams {
 		n := float64(need)
-		over = over || t.Name == j.Team && (t.CPUsMax > 0 && cpus+n*j.CPUs > t.CPUsMax+tiny || t.GPUsMax > 0 && gpus+n*j.GPUs > t.GPUsMax+tiny)
+		over = over || t.Name == j.Team && (t.CPUsMax > 0 && team.cpus+n*j.CPUs > t.CPUsMax+tiny || t.GPUsMax > 0 && team.gpus+n*j.GPUs > t.GPUsMax+tiny)
 	}
 	if begun || missing == 0 || over {
 		clear(j.beside)
