--- a/internal/node/cancelled.go
+++ b/internal/node/cancelled.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"dalefront/internal/api"
+	"dalefront/internal/state"
 	"dalefront/wire"
 )
 
@@ -14,7 +16,11 @@
 // order to renew leases. Until then whoever asks gets what nobody was told otherwise: queued or
 // running. docs/meetings.md.
 
-const goneEvery = 100 * time.Millisecond // between two looks whether a cancelled job's tasks are gone
+// Between two looks whether a cancelled job's tasks are gone, at first and at most.
+const (
+	goneEvery  = 100 * time.Millisecond
+	goneAtMost = 400 * time.Millisecond
+)
 
 // Cancel implements api.Service. Done and cancelled share one key that is created once, so the
 // first one is final.
@@ -43,7 +49,7 @@
 	default:
 		return wire.JobStatus{}, api.ErrOverload
 	}
-	for {
+	for pause := goneEvery; ; pause = min(2*pause, goneAtMost) {
 		v := n.look(ctx, id, true)
 		switch {
 		case v.err != nil:
@@ -58,7 +64,7 @@
 		select {
 		case <-ctx.Done():
 			return wire.JobStatus{}, api.ErrNotNow
-		case <-time.After(goneEvery):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -77,6 +83,10 @@
 		if n.reign != r {
 			return
 		}
+		if errors.Is(err, state.ErrConflict) {
+			r.end()
+			return
+		}
 		if err != nil {
 			r.cancelled = append(r.cancelled, keys...)
 		}
--- a/internal/sim/answers_test.go
+++ b/internal/sim/answers_test.go
@@ -375,6 +375,46 @@
 	})
 }
 
+// A submission whose transaction comes late, and one repeated at a process that has forgotten
+// everything, after the job has ended and its record is gone: it is not accepted again.
+func TestNotAcceptedAgain(t *testing.T) {
+	c := newCluster(t, 2, func(*config.Settings) {})
+	c.until("a leader", func() bool { return c.report(0) == 200 })
+	c.svc.HoldBackWrite("q/a/j-1")
+	_, _ = c.ask(0, http.MethodPost, wire.PathJobs, c.submission("j-1", 1), nil)
+	if c.svc.HeldBack() != 1 {
+		t.Fatal("the first submission was not held back")
+	}
+	c.until("accepted", func() bool {
+		code, _ := c.ask(1, http.MethodPost, wire.PathJobs, c.submission("j-1", 1), nil)
+		return code/100 == 2
+	})
+	c.until("its record is gone", func() bool {
+		c.report(0)
+		for k, tr := range c.tasks {
+			if tr.State == wire.TaskRunning {
+				tr.State, tr.Cause = wire.TaskExited, wire.CauseDone
+				c.tasks[k] = tr
+			}
+		}
+		return c.svc.Keys("q/a/") == 0
+	})
+	c.svc.Arrive()
+	c.stop[1]()
+	c.start(1)
+	c.until("the new process answers", func() bool {
+		var st wire.JobStatus
+		code, _ := c.ask(1, http.MethodPost, wire.PathJobs, c.submission("j-1", 1), &st)
+		if code/100 == 2 && st.Status != wire.JobDone {
+			t.Fatalf("a job that was done is %s", st.Status)
+		}
+		return code/100 == 2
+	})
+	if n := c.svc.Keys("q/a/"); n != 0 {
+		t.Error("the job that was done was accepted once more")
+	}
+}
+
 // Ends that an earlier version stored may have been told at once: while the job's record is there
 // nobody is told anything else, and afterwards that it is cancelled.
 func TestEndOfAnEarlierVersion(t *testing.T) {
