--- a/cmd/dalefront/handover.go
+++ b/cmd/dalefront/handover.go
@@ -12,7 +12,7 @@
 	"dalefront/internal/peer"
 )
 
-// handOverCommand changes the overseer, from any machine that reaches the controllers.
+// handOverCommand changes the leader, from any machine that reaches the controllers.
 func handOverCommand(settings, operator *string) *cobra.Command {
 	var wait time.Duration
 	cmd := &cobra.Command{
@@ -34,8 +34,8 @@
 			}
 			ctx, cancel := context.WithTimeout(cmd.Context(), wait)
 			defer cancel()
-			c, err := peer.ChangeOverseer(ctx, addrs)
-			if errors.Is(err, peer.ErrNoOverseer) || errors.Is(err, peer.ErrNobody) {
+			c, err := peer.ChangeLeader(ctx, addrs)
+			if errors.Is(err, peer.ErrNoLeader) || errors.Is(err, peer.ErrNobody) {
 				return &exitError{exitLater, fmt.Errorf("handover: %w", err)}
 			}
 			if err != nil {
--- a/cmd/dalefront/site_test.go
+++ b/cmd/dalefront/site_test.go
@@ -78,7 +78,7 @@
 	t.Fatal("never happened: ", what)
 }
 
-// A site of real processes: the overseer is killed while jobs run, then each controller
+// A site of real processes: the leader is killed while jobs run, then each controller
 // in turn is told to end, under load, and started again. No request goes unanswered
 // during the latter, every controller ends with 0, all jobs finish, no rule breaks.
 func TestSite(t *testing.T) {
@@ -153,10 +153,10 @@
 	}
 }
 
-// The overseer's process stands still for longer than its hold and wakes with calls in
-// flight; then whoever is overseer is killed again and again and comes back after a fifth
+// The leader's process stands still for longer than its hold and wakes with calls in
+// flight; then whoever is leader is killed again and again and comes back after a fifth
 // of a second. All jobs finish and no rule breaks.
-func TestSiteWithEndingOverseers(t *testing.T) {
+func TestSiteWithEndingLeaders(t *testing.T) {
 	t.Parallel()
 	s, _ := upSite(t, 10)
 	jobs := "http://" + s.Users + wire.PathJobs
@@ -165,16 +165,16 @@
 		t.Helper()
 		until("accepted", func() bool { return submitSmall(jobs, id, 6, 1.5) == nil })
 	}
-	overseer := func() { t.Helper(); until("an overseer", func() bool { return s.Overseer() >= 0 }) }
+	leader := func() { t.Helper(); until("an overseer", func() bool { return s.Leader() >= 0 }) }
 	submit("j-1")
-	overseer()
+	leader()
 	if what, err := s.Fault("freeze", "", 4*time.Second); err != nil {
 		t.Fatal(what, err)
 	}
 	submit("j-2")
 	time.Sleep(5 * time.Second)
 	for i := range 5 {
-		overseer()
+		leader()
 		if what, err := s.Fault("kill", "", 200*time.Millisecond); err != nil {
 			t.Log(what, err) // it has just ended
 		}
--- a/internal/calendar/calendar_test.go
+++ b/internal/calendar/calendar_test.go
@@ -355,7 +355,7 @@
 	}
 }
 
-// The overseer and handlers of requests ask one file at the same time; the years that
+// The leader and handlers of requests ask one file at the same time; the years that
 // are worked out on the way were once shared without a lock.
 func TestAskedAtOnce(t *testing.T) {
 	c := parse(t, "calendar \"c\" {\n timezone = \"UTC\"\n holiday \"h\" { date = \"01-02\" }\n}\nschedule \"s\" {\n calendar = \"c\"\n cron = \"0 0 2 1 *\"\n"+job+"}")
--- a/internal/calendar/holiday.go
+++ b/internal/calendar/holiday.go
@@ -41,7 +41,7 @@
 }
 
 // holidays answers for a date whether it is a public holiday, and which. Each year is
-// worked out once. Handlers of requests and the overseer ask at the same time: what is
+// worked out once. Handlers of requests and the leader ask at the same time: what is
 // worked out is behind a short lock.
 type holidays struct {
 	rules []*cal.Holiday
--- a/internal/domain/domain.go
+++ b/internal/domain/domain.go
@@ -199,7 +199,7 @@
 			float64(z.silent) >= cutShare*float64(z.known) && serving > 0:
 			z.cut = true
 			z.since = d.fellSilent(z)
-			// Its controllers hold the overseer's grant if they were there when it
+			// Its controllers hold the leader's grant if they were there when it
 			// fell silent; they renew its workers' leases.
 			z.renewing = z.inside > 0 && z.lastTalked >= z.since-limit
 			z.evidence = fmt.Sprintf("%d of %d machines silent, %d controllers inside, none heard", z.silent, z.known, z.inside)
--- a/internal/load/bench_test.go
+++ b/internal/load/bench_test.go
@@ -38,11 +38,11 @@
 }
 `
 
-// BenchmarkOverseer is what one overseer's core spends at sites of several sizes, with
+// BenchmarkLeader is what one leader's core spends at sites of several sizes, with
 // more work than machines: microseconds of a report, of a pass (five a second) and of a
 // look at what to rent (one a second), launches a second, and the share of a core that all
 // of it takes in simulated time.
-func BenchmarkOverseer(b *testing.B) {
+func BenchmarkLeader(b *testing.B) {
 	for _, n := range []int{1000, 4000, 10000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			measureCore(b, fmt.Appendf(nil, crowded, n, 6*n, 3*n))
@@ -189,7 +189,7 @@
 	}
 }
 
-// BenchmarkRough is what an overseer's core spends while more than can run waits.
+// BenchmarkRough is what a leader's core spends while more than can run waits.
 func BenchmarkRough(b *testing.B) {
 	for _, n := range []int{1600, 4000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/internal/node/archive.go
+++ b/internal/node/archive.go
@@ -100,7 +100,7 @@
 
 // compact moves old ends into the archive while this node holds the term, below a
 // share of what the state service takes.
-func (r *reign) compact(ctx context.Context) {
+func (r *leadership) compact(ctx context.Context) {
 	n := r.n
 	after := config.Micro(*n.set.Operator.ArchiveAfterS)
 	if after <= 0 {
--- a/internal/node/cancelled.go
+++ b/internal/node/cancelled.go
@@ -72,7 +72,7 @@
 // deleteCancelled deletes the records of cancelled jobs whose tasks are gone, apart from the
 // other tidying, since their users wait for it. Without an answer it is done again: under one
 // term it comes to the same.
-func (r *reign) deleteCancelled(keys []string) {
+func (r *leadership) deleteCancelled(keys []string) {
 	n := r.n
 	err := r.deleteNow(keys)
 	if err != nil {
@@ -80,7 +80,7 @@
 	}
 	n.post(func() {
 		r.busyCancelled = false
-		if n.reign != r {
+		if n.leadership != r {
 			return
 		}
 		if errors.Is(err, state.ErrConflict) {
@@ -95,7 +95,7 @@
 }
 
 // deleteNow deletes keys on condition of the term.
-func (r *reign) deleteNow(keys []string) error {
+func (r *leadership) deleteNow(keys []string) error {
 	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
 	for _, k := range keys {
 		txn.Then = append(txn.Then, wire.Change{Delete: k})
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -18,16 +18,16 @@
 // finishTime bounds how long requests that were begun may take; none has longer.
 const finishTime = 5 * time.Second
 
-// windUp hands the term over, so that no time passes without an overseer, goes on
+// windUp hands the term over, so that no time passes without a leader, goes on
 // serving until the load balancer has taken this node out, and finishes what was
-// begun. To the cluster it is an overseer that crashed, but for the time it takes to
+// begun. To the cluster it is a leader that crashed, but for the time it takes to
 // notice: nothing depends on its last words.
 func (n *Node) windUp(ctx context.Context, srv *http.Server) {
 	n.log.Info("draining")
 	n.post(func() {
-		if n.reign != nil {
-			n.log.Info("term handed over", "token", n.reign.token)
-			n.reign.end() // the term's loop ends its hold, and the key goes with it
+		if n.leadership != nil {
+			n.log.Info("term handed over", "token", n.leadership.token)
+			n.leadership.end() // the term's loop ends its lease, and the key goes with it
 		}
 	})
 	select {
@@ -42,7 +42,7 @@
 	n.log.Info("ended")
 }
 
-// HandOver lets another node become overseer, if this one is: it gives its term up and lets
+// HandOver lets another node become leader, if this one is: it gives its term up and lets
 // the others go first for a while. Nothing that runs is stopped.
 func (n *Node) HandOver() {
 	n.post(func() {
@@ -54,7 +54,7 @@
 
 // handOver says whether there was a term to hand over. Owner goroutine.
 func (n *Node) handOver() bool {
-	r := n.reign
+	r := n.leadership
 	if r == nil {
 		return false
 	}
@@ -69,6 +69,6 @@
 // PeerHandOver implements peer.Server. A request that comes late is for another term.
 func (n *Node) PeerHandOver(ctx context.Context, h *peer.HandOver) (*peer.HandOverAnswer, error) {
 	var a peer.HandOverAnswer
-	n.do(ctx, func() { a.Did = n.reign != nil && n.reign.token == h.Token && n.handOver() })
+	n.do(ctx, func() { a.Did = n.leadership != nil && n.leadership.token == h.Token && n.handOver() })
 	return &a, ctx.Err()
 }
--- a/internal/node/flap.go
+++ b/internal/node/flap.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// A controller that keeps ending is no good overseer: every end of its costs a takeover.
+// A controller that keeps ending is no good leader: every end of its costs a takeover.
 // It can't know of its earlier processes, but its peers can: each hello names the process
 // that sends it, and the answer says how often the node was started anew lately. A node
 // that hears of several lets the others try for the term first. This is bounded, and
--- a/internal/node/flap_test.go
+++ b/internal/node/flap_test.go
@@ -98,7 +98,7 @@
 }
 
 // A process that finds the term of an earlier process of its node replaces it without
-// waiting for its hold to run out, under a higher token; that of another node it leaves.
+// waiting for its lease to run out, under a higher token; that of another node it leaves.
 // One that others have seen end again and again gives it up instead, and lets them go
 // first, for a bounded time.
 func TestEarlierProcess(t *testing.T) {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -11,7 +11,7 @@
 )
 
 // fleet decides about machines. Owner goroutine.
-func (r *reign) fleet(blind bool) {
+func (r *leadership) fleet(blind bool) {
 	n := r.n
 	now := n.now()
 	r.core.Survey(now, n.controllers())
@@ -37,7 +37,7 @@
 	}
 }
 
-func (r *reign) lastList(now int64) bool {
+func (r *leadership) lastList(now int64) bool {
 	// A list takes a request for each 500 machines: a quarter of what the cloud takes.
 	known, _ := r.core.Fleet()
 	pages := float64(known/500 + 1)
@@ -49,7 +49,7 @@
 	return true
 }
 
-func (r *reign) runCloud() {
+func (r *leadership) runCloud() {
 	for {
 		select {
 		case <-r.ctx.Done():
@@ -62,7 +62,7 @@
 
 var errNotMine = errors.New("the term may be another node's")
 
-func (r *reign) cloudRound(returns []string, hires []wire.Hire, list bool) {
+func (r *leadership) cloudRound(returns []string, hires []wire.Hire, list bool) {
 	n := r.n
 	defer n.post(func() { r.busyCloud = false; n.dirty = true })
 	if len(returns) > 0 {
@@ -71,7 +71,7 @@
 			err = n.cloud.Return(r.ctx, returns)
 		}
 		n.post(func() {
-			if n.reign != r {
+			if n.leadership != r {
 				return
 			}
 			if err != nil {
@@ -90,7 +90,7 @@
 			return
 		}
 		n.post(func() {
-			if n.reign == r {
+			if n.leadership == r {
 				r.core.Machines(ms, n.now())
 			}
 		})
@@ -99,7 +99,7 @@
 
 // hireAll stores the names of a round's requests, in one write, and then asks for
 // the machines, side by side: none waits behind a slow answer to another.
-func (r *reign) hireAll(hires []wire.Hire) {
+func (r *leadership) hireAll(hires []wire.Hire) {
 	if len(hires) == 0 {
 		return
 	}
@@ -116,7 +116,7 @@
 			}
 			n.log.Info("hire", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count, "got", len(hosts), "err", err)
 			n.post(func() {
-				if n.reign != r {
+				if n.leadership != r {
 					return
 				}
 				if err != nil {
@@ -131,7 +131,7 @@
 	n.post(func() { r.tidy = append(r.tidy, key) })
 }
 
-func (r *reign) hire(h wire.Hire) ([]string, error) {
+func (r *leadership) hire(h wire.Hire) ([]string, error) {
 	for i := 0; ; i++ {
 		hosts, err := r.n.cloud.Hire(r.ctx, h)
 		if err == nil || errors.Is(err, cloud.ErrNoCapacity) || i == 2 || r.ctx.Err() != nil {
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -14,7 +14,7 @@
 const heardFor = 10 * time.Minute
 
 // hears notes that a worker has reported to this node. What each node has heard is
-// all that is left of it when an overseer ends.
+// all that is left of it when a leader ends.
 func (n *Node) hears(host string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/hello.go
+++ b/internal/node/hello.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// acting is the process that said hello as overseer, and under which token.
+// acting is the process that said hello as leader, and under which token.
 type acting struct{ token, process uint64 }
 
 // meets takes a hello of a peer, or the answer to one, and is how often that peer was
@@ -68,13 +68,13 @@
 }
 
 // mayRenew says whether this node may renew the worker's lease by itself: under the
-// overseer's grant, which is its token in a hello, while neither the overseer nor the state
+// leader's grant, which is its token in a hello, while neither the leader nor the state
 // service is in reach. It carries no commands, and nothing is ever freed because time has
-// passed, so a grant that outlives its overseer starts nothing twice, and nobody was told of a
+// passed, so a grant that outlives its leader starts nothing twice, and nobody was told of a
 // cancellation whose tasks it keeps alive.
 func (n *Node) mayRenew(r *wire.Report) (uint64, bool) {
 	if n.state.Reachable(3 * time.Second) {
-		return 0, false // then another overseer can be found
+		return 0, false // then another leader can be found
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -82,8 +82,8 @@
 }
 
 func (n *Node) hello() *peer.Hello {
-	leader, token, reigning := n.view()
-	h := &peer.Hello{From: n.set.Label, Leader: leader, Token: token, Born: n.born, Acts: reigning != 0 && reigning == token}
+	leader, token, leading := n.view()
+	h := &peer.Hello{From: n.set.Label, Leader: leader, Token: token, Born: n.born, Acts: leading != 0 && leading == token}
 	h.Unfit = n.warm.unfit()
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -14,7 +14,7 @@
 const jobsPage = 150
 
 // Jobs implements api.JobLists, from the stored jobs: any node can, and what it names
-// was accepted and had not ended when it was read. Counts are the overseer's; without
+// was accepted and had not ended when it was read. Counts are the leader's; without
 // it jobs are shown as queued.
 func (n *Node) Jobs(ctx context.Context, after string, f wire.JobFilter) (wire.JobList, error) {
 	out := wire.JobList{Jobs: []wire.JobSummary{}}
--- a/internal/node/reign.go
+++ b/internal/node/leadership.go
@@ -13,13 +13,13 @@
 	"dalefront/wire"
 )
 
-// reign is the time during which this node holds the term: it owns the core and
+// leadership is the time during which this node holds the term: it owns the core and
 // the loops that carry out its effects. All its writes are conditional on the
 // term key, so they fail once another node holds the term.
-type reign struct {
+type leadership struct {
 	n      *Node
 	token  uint64
-	hold   *hold
+	lease  *lease
 	core   *sched.Core
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -60,13 +60,13 @@
 	return n.gaveUp == token
 }
 
-// reignOver loads the stored state and acts as overseer until the term is lost.
-func (n *Node) reignOver(ctx context.Context, token uint64, h *hold, asked int64) {
+// lead loads the stored state and acts as leader until the term is lost.
+func (n *Node) lead(ctx context.Context, token uint64, h *lease) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	plain := ctx
 	ctx = state.Urgent(ctx)
-	r := &reign{n: n, token: token, hold: h, ctx: ctx, cancel: cancel, chunks: map[string]int{}, chunkAt: map[string]uint64{},
+	r := &leadership{n: n, token: token, lease: h, ctx: ctx, cancel: cancel, chunks: map[string]int{}, chunkAt: map[string]uint64{},
 		directs: make(chan sched.Direct, max(256, n.set.Deployment.Resources.Sockets/4)), cloudQ: make(chan func(), 64)}
 	n.learn(n.set.Label, token)
 	for {
@@ -88,12 +88,12 @@
 		n.mu.Lock()
 		ok := n.token == token
 		if ok {
-			n.reigning = token
+			n.leading = token
 			n.leader = n.set.Label
 		}
 		n.mu.Unlock()
 		if ok {
-			n.reign = r
+			n.leadership = r
 			n.dirty = true
 		}
 		installed <- ok
@@ -134,13 +134,13 @@
 // doubts stops all acting after a standstill until the term was read again: in
 // the meantime another node may have taken it, and reports, returns and silences
 // seen from here are as old as the gap. Owner goroutine.
-func (r *reign) doubts(gap int64) {
+func (r *leadership) doubts(gap int64) {
 	n := r.n
 	before := r.doubt
 	r.doubt += gap
 	n.mu.Lock()
-	if n.reigning == r.token {
-		n.reigning = 0
+	if n.leading == r.token {
+		n.leading = 0
 	}
 	n.mu.Unlock()
 	n.log.Info("stood still", "for_us", gap, "token", r.token)
@@ -152,7 +152,7 @@
 // confirm reads the term. While the state service is out of reach nobody can have
 // taken it, unless it is out of reach for this node alone; peers that know better
 // say so within their hello, and until the service answers nothing is started.
-func (r *reign) confirm() {
+func (r *leadership) confirm() {
 	n := r.n
 	for tries := 0; r.ctx.Err() == nil; tries++ {
 		e, found, err := n.state.Get(r.ctx, termKey)
@@ -170,14 +170,14 @@
 }
 
 // resume goes on after a standstill. Owner goroutine.
-func (r *reign) resume() {
+func (r *leadership) resume() {
 	n := r.n
-	if n.reign != r {
+	if n.leadership != r {
 		return
 	}
 	n.mu.Lock()
 	if n.token == r.token {
-		n.reigning = r.token
+		n.leading = r.token
 	}
 	n.mu.Unlock()
 	r.core.Slept(r.doubt, n.now())
@@ -189,7 +189,7 @@
 // is said to the cloud is, unlike what is stored, not conditional on it. A node that the
 // service refuses alone may have been replaced, and a machine that it takes for silent may
 // work for the next leader.
-func (r *reign) mine() bool {
+func (r *leadership) mine() bool {
 	n := r.n
 	if r.ctx.Err() != nil || !n.awake() {
 		return false
@@ -202,14 +202,14 @@
 }
 
 // end stops acting. It runs on the owner goroutine.
-func (r *reign) end() {
+func (r *leadership) end() {
 	n := r.n
-	if n.reign == r {
-		n.reign = nil
+	if n.leadership == r {
+		n.leadership = nil
 	}
 	n.mu.Lock()
-	if n.reigning == r.token {
-		n.reigning = 0
+	if n.leading == r.token {
+		n.leading = 0
 	}
 	n.shown = gauges{}
 	n.mu.Unlock()
@@ -217,16 +217,16 @@
 }
 
 // termCond makes a transaction fail once another node holds the term.
-func (r *reign) termCond() wire.Cond { return wire.Cond{Key: termKey, Version: r.token} }
+func (r *leadership) termCond() wire.Cond { return wire.Cond{Key: termKey, Version: r.token} }
 
-func (r *reign) ended(id string, value []byte) {
+func (r *leadership) ended(id string, value []byte) {
 	if rec, err := r.n.decodeEnd(id, value); err == nil {
 		r.core.Ended(id, rec.Status, r.n.now())
 	}
 }
 
 // watch brings accepted and ended jobs.
-func (r *reign) watch() {
+func (r *leadership) watch() {
 	n := r.n
 	from := r.revision
 	// Each opening of the watch is a request: in a flood of small jobs every change
@@ -252,7 +252,7 @@
 			next = next.Add(every)
 		}
 		n.post(func() {
-			if n.reign != r {
+			if n.leadership != r {
 				return
 			}
 			for _, e := range ev.Events {
@@ -265,7 +265,7 @@
 }
 
 // take applies one changed key of the queue.
-func (r *reign) take(key string, value []byte) {
+func (r *leadership) take(key string, value []byte) {
 	n := r.n
 	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
 		var rec jobRecord
@@ -282,7 +282,7 @@
 }
 
 // reread reads the queue again after the watch fell too far behind.
-func (r *reign) reread() (uint64, bool) {
+func (r *leadership) reread() (uint64, bool) {
 	n := r.n
 	jobs, rev, err := n.state.List(r.ctx, jobPrefix)
 	if err != nil {
@@ -293,7 +293,7 @@
 		return 0, false
 	}
 	n.post(func() {
-		if n.reign == r {
+		if n.leadership == r {
 			for _, e := range append(jobs, ends...) {
 				r.take(e.Key, e.Value)
 			}
@@ -303,7 +303,7 @@
 }
 
 // pass schedules and starts what follows from it. Owner goroutine.
-func (r *reign) pass() {
+func (r *leadership) pass() {
 	n := r.n
 	if r.doubt > 0 {
 		return
@@ -321,7 +321,7 @@
 
 // serveWaiters answers the reports that waited for launches: those whose
 // machines a pass has considered and whose launches are stored.
-func (r *reign) serveWaiters() {
+func (r *leadership) serveWaiters() {
 	kept := r.waiters[:0]
 	for _, w := range r.waiters {
 		if r.passes > w.passes && !r.core.InFlight(w.host) {
@@ -333,7 +333,7 @@
 	r.waiters = kept
 }
 
-func (r *reign) effects() {
+func (r *leadership) effects() {
 	n := r.n
 	for _, d := range r.core.Directs() {
 		select {
@@ -376,7 +376,7 @@
 }
 
 // tick does what time brings: progress, tidying, the fleet. Owner goroutine.
-func (r *reign) tick() {
+func (r *leadership) tick() {
 	n := r.n
 	now := n.now()
 	if r.doubt > 0 {
@@ -440,7 +440,7 @@
 	}
 }
 
-func (r *reign) sendDirects() {
+func (r *leadership) sendDirects() {
 	for {
 		select {
 		case <-r.ctx.Done():
@@ -456,13 +456,13 @@
 
 // answered hands the core what a worker said to a direct command: its report, also where it
 // refused the command (409).
-func (r *reign) answered(said wire.Report, _ error) {
+func (r *leadership) answered(said wire.Report, _ error) {
 	if said.Host == "" {
 		return
 	}
 	n := r.n
 	n.post(func() {
-		if n.reign == r && r.doubt == 0 {
+		if n.leadership == r && r.doubt == 0 {
 			r.core.Answered(&said, n.now())
 			n.dirty = n.dirty || r.core.Changed()
 		}
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -19,14 +19,14 @@
 // load builds the core from what is stored: from the copy that this node has followed, if
 // all checks pass, otherwise from what it reads now. From the moment the term was taken nobody
 // else can change it but by accepting and ending jobs, which the watch brings.
-func (r *reign) load() error {
+func (r *leadership) load() error {
 	n := r.n
 	began := time.Now()
 	// A peer that is gone costs its time limit: the store is read meanwhile, and a copy
 	// does not wait for it. It is evidence about silent machines and nothing else.
 	heard := make(chan map[string]int64, 1)
 	go func() { heard <- n.gatherHeard(r.ctx) }()
-	s, why := n.warm.takeOver(r.ctx, r.token, r.hold)
+	s, why := n.warm.takeOver(r.ctx, r.token, r.lease)
 	if s == nil {
 		var err error
 		if s, err = r.read(); err != nil {
@@ -61,7 +61,7 @@
 }
 
 // read reads what a takeover needs.
-func (r *reign) read() (*stored, error) {
+func (r *leadership) read() (*stored, error) {
 	n := r.n
 	s := &stored{ledger: map[string]sched.Entry{}}
 	copied := r.loadCopy()
@@ -138,7 +138,7 @@
 }
 
 // build makes the core of the term from what is stored, however it came here.
-func (r *reign) build(s *stored) (*sched.Core, error) {
+func (r *leadership) build(s *stored) (*sched.Core, error) {
 	n := r.n
 	cat, _ := n.types()
 	now := n.now()
--- a/internal/node/lookup.go
+++ b/internal/node/lookup.go
@@ -33,7 +33,7 @@
 type verdict struct {
 	accepted, ended bool
 	archived        bool
-	st              wire.JobStatus // with the overseer's counts, if it is not ended
+	st              wire.JobStatus // with the leader's counts, if it is not ended
 	err             error
 }
 
@@ -97,7 +97,7 @@
 	}
 }
 
-// lookUp answers a batch with one read, and one question to the overseer for the
+// lookUp answers a batch with one read, and one question to the leader for the
 // counts to show.
 func (n *Node) lookUp(ctx context.Context, batch []lookup) {
 	ctx, cancel := context.WithTimeout(ctx, 1200*time.Millisecond)
@@ -159,15 +159,15 @@
 	}
 }
 
-// countsOf asks for the counts that only the overseer has; without it jobs are
+// countsOf asks for the counts that only the leader has; without it jobs are
 // shown as queued.
 func (n *Node) countsOf(ctx context.Context, ids []string) map[string]wire.JobStatus {
 	if len(ids) == 0 {
 		return nil
 	}
 	sts := n.counts(ctx, ids)
-	leader, _, reigning := n.view()
-	if p := n.peers[leader]; p != nil && reigning == 0 {
+	leader, _, leading := n.view()
+	if p := n.peers[leader]; p != nil && leading == 0 {
 		if a, err := p.Counts(ctx, ids); err == nil {
 			sts = a.Jobs
 		}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -22,7 +22,7 @@
 }
 
 // metrics serves the counters. Those of the core are zero on nodes that are not
-// the overseer.
+// the leader.
 func (n *Node) metrics() http.Handler {
 	reg := prometheus.NewRegistry()
 	add := func(name, help string, read func(*gauges) int) {
@@ -85,8 +85,8 @@
 		Help: "Users that wait here until the tasks of a job that they cancelled are gone."}, func() float64 { return float64(len(n.cancels)) }))
 	reg.MustRegister(shares{n})
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "overseer", Help: "1 while this node acts as overseer."}, func() float64 {
-		_, _, reigning := n.view()
-		return one(reigning != 0)
+		_, _, leading := n.view()
+		return one(leading != 0)
 	}))
 	return promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
 }
@@ -100,7 +100,7 @@
 }
 
 // show updates the gauges. Owner goroutine.
-func (r *reign) show() {
+func (r *leadership) show() {
 	var s gauges
 	s.stats = r.core.Stats
 	s.jobs, s.tasks = r.core.Waiting()
@@ -167,7 +167,7 @@
 }
 
 // tellServed logs what each class and team has had, and warns of those that are behind.
-func (r *reign) tellServed() {
+func (r *leadership) tellServed() {
 	for _, s := range r.core.Served(mostServed) {
 		r.n.log.Info("served", "of", kindOf(&s), "name", s.Name, "submitted", s.Submitted, "begun", s.Begun, "done", s.Done, "late", s.Late,
 			"cancelled", s.Cancelled, "waiting", s.Waiting, "share", s.Share)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,7 +37,7 @@
 	peers  map[string]*peer.Client
 	cal    *calendar.Calendar // recurring jobs, nil if none are configured
 	// Final answers of old jobs. It is asked whether or not this node's settings
-	// have ends archived: another overseer may have done so.
+	// have ends archived: another leader may have done so.
 	archive *archive.Reader
 	snapKey []byte // of the snapshots written to disk, nil for none
 	start   time.Time
@@ -51,9 +51,9 @@
 	lookBacks chan struct{} // bounds the questions to the archive
 
 	// Owned by the owner goroutine.
-	reign *reign
-	dirty bool
-	work  work
+	leadership *leadership
+	dirty      bool
+	work       work
 
 	warm *warm
 
@@ -62,28 +62,28 @@
 	draining atomic.Bool
 	drained  chan struct{} // closed when this node is to end
 
-	mu       sync.Mutex
-	leader   string // who holds the term, as far as known
-	token    uint64 // highest token known
-	shown    gauges
-	grant    uint64 // the token under which an overseer let this node renew leases
-	gaveUp   uint64 // the last term that this node gave up by itself
-	reigning uint64 // this node's token while it acts, otherwise 0
-	catalog  *wire.Catalog
-	finals   map[string]wire.JobStatus
-	finalQ   []string
-	known    map[string]struct{}  // jobs known to be accepted
-	peerAt   map[string]time.Time // when a peer last answered
-	heardAt  map[string]time.Time // when a worker last reported to this node
-	sendOn   *rate.Limiter        // workers that are sent on to another node
-	born     uint64               // names this process
-	started  map[string]*starts   // of the peers' processes
-	stand    standby.View         // who stands by
-	unfitAt  map[string]time.Time // when a peer said that it could not follow
-	acting   acting               // which process said hello as overseer
-	answers  int                  // hellos that were answered
-	ends     int                  // how often this node was started anew lately, as a peer said
-	endsAt   time.Time            // when
+	mu      sync.Mutex
+	leader  string // who holds the term, as far as known
+	token   uint64 // highest token known
+	shown   gauges
+	grant   uint64 // the token under which a leader let this node renew leases
+	gaveUp  uint64 // the last term that this node gave up by itself
+	leading uint64 // this node's token while it acts, otherwise 0
+	catalog *wire.Catalog
+	finals  map[string]wire.JobStatus
+	finalQ  []string
+	known   map[string]struct{}  // jobs known to be accepted
+	peerAt  map[string]time.Time // when a peer last answered
+	heardAt map[string]time.Time // when a worker last reported to this node
+	sendOn  *rate.Limiter        // workers that are sent on to another node
+	born    uint64               // names this process
+	started map[string]*starts   // of the peers' processes
+	stand   standby.View         // who stands by
+	unfitAt map[string]time.Time // when a peer said that it could not follow
+	acting  acting               // which process said hello as leader
+	answers int                  // hellos that were answered
+	ends    int                  // how often this node was started anew lately, as a peer said
+	endsAt  time.Time            // when
 }
 
 // New returns a node; Run starts it.
@@ -157,7 +157,7 @@
 	go n.termLoop(ctx)
 	go n.probe(ctx)
 	go n.warm.follow(ctx)
-	go n.warm.watchOverseer(ctx)
+	go n.warm.watchLeader(ctx)
 	go n.warmArchive(ctx)
 	pace := n.lookupPace()
 	for i := 0; i < lookupers; i++ {
@@ -208,13 +208,13 @@
 			n.woke()
 			armed = false
 			n.dirty = false
-			if n.reign != nil {
-				took = min(work.measure(workPasses, n.reign.pass), 100*time.Millisecond) // a small share of the processor
+			if n.leadership != nil {
+				took = min(work.measure(workPasses, n.leadership.pass), 100*time.Millisecond) // a small share of the processor
 			}
 		case <-tick.C:
 			n.woke()
-			if n.reign != nil {
-				work.measure(workTicks, n.reign.tick)
+			if n.leadership != nil {
+				work.measure(workTicks, n.leadership.tick)
 			}
 		}
 	}
@@ -234,8 +234,8 @@
 	now := n.now()
 	gap := now - n.beat.Load()
 	n.beat.Store(now)
-	if gap >= standstill && n.reign != nil {
-		n.reign.doubts(gap)
+	if gap >= standstill && n.leadership != nil {
+		n.leadership.doubts(gap)
 	}
 }
 
@@ -259,10 +259,10 @@
 // it waits for room.
 func (n *Node) post(f func()) { n.events <- f }
 
-func (n *Node) view() (leader string, token, reigning uint64) {
+func (n *Node) view() (leader string, token, leading uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.leader, n.token, n.reigning
+	return n.leader, n.token, n.leading
 }
 
 // learn takes what somebody says about the term. A higher token always wins:
@@ -275,16 +275,16 @@
 	} else if token == n.token && leader != "" {
 		n.leader = leader
 	}
-	deposed := n.reigning != 0 && token > n.reigning
+	deposed := n.leading != 0 && token > n.leading
 	if deposed {
-		n.reigning = 0
+		n.leading = 0
 	}
 	n.mu.Unlock()
 	if deposed {
 		n.log.Info("step down", "for", leader, "token", token)
 		n.post(func() {
-			if n.reign != nil && n.reign.token < token {
-				n.reign.end()
+			if n.leadership != nil && n.leadership.token < token {
+				n.leadership.end()
 			}
 		})
 	}
@@ -292,15 +292,15 @@
 
 // learnCatalog reads the machine types from the cloud, and prices again from
 // time to time. A node that starts while the cloud is in trouble uses the copy
-// that an overseer stored: it must be able to take jobs all the same.
+// that a leader stored: it must be able to take jobs all the same.
 func (n *Node) learnCatalog(ctx context.Context) {
 	for wait := 300 * time.Millisecond; ; {
 		cat, err := n.cloud.Catalog(ctx)
 		if err == nil && len(cat.Types) > 0 {
 			n.takeCatalog(cat)
-			if _, _, reigning := n.view(); reigning != 0 {
+			if _, _, leading := n.view(); leading != 0 {
 				_, _ = n.state.Multi(ctx, wire.Txn{
-					If:   []wire.Cond{{Key: termKey, Version: reigning}},
+					If:   []wire.Cond{{Key: termKey, Version: leading}},
 					Then: []wire.Change{{Put: catalogKey, Value: cat}},
 				})
 				wait = 120 * time.Second
@@ -329,8 +329,8 @@
 	n.catalog = &cat
 	n.mu.Unlock()
 	n.post(func() {
-		if n.reign != nil {
-			n.reign.core.SetCatalog(cat)
+		if n.leadership != nil {
+			n.leadership.core.SetCatalog(cat)
 		}
 	})
 }
@@ -361,15 +361,15 @@
 // counts reads jobs' display counts from the core, if this node has it.
 func (n *Node) counts(ctx context.Context, ids []string) (sts []wire.JobStatus) {
 	var out []wire.JobStatus
-	if _, _, reigning := n.view(); reigning == 0 {
+	if _, _, leading := n.view(); leading == 0 {
 		return nil
 	}
 	if n.do(ctx, func() {
-		if n.reign == nil {
+		if n.leadership == nil {
 			return
 		}
 		for _, id := range ids {
-			if s, done, running, ok := n.reign.core.Counts(id); ok {
+			if s, done, running, ok := n.leadership.core.Counts(id); ok {
 				out = append(out, wire.JobStatus{ID: id, Status: s, Done: done, Running: running})
 			}
 		}
@@ -384,24 +384,24 @@
 // higher token. While the state service is out of reach it goes on renewing
 // leases, since it starts nothing without it.
 func (n *Node) report(ctx context.Context, r *wire.Report) (a wire.ReportAnswer, ok bool) {
-	_, token, reigning := n.view()
+	_, token, leading := n.view()
 	if r.Token > token {
 		n.learn("", r.Token)
 	}
-	if reigning == 0 || r.Token > reigning {
+	if leading == 0 || r.Token > leading {
 		return a, false
 	}
 	var fresh chan []wire.Order
 	done := n.do(ctx, func() {
-		if n.reign == nil || n.reign.doubt > 0 || ctx.Err() != nil {
+		if n.leadership == nil || n.leadership.doubt > 0 || ctx.Err() != nil {
 			return
 		}
-		a, ok = n.reign.core.Report(r, n.now()), true
-		hungry := n.reign.core.Hungry(r.Host)
-		n.dirty = n.dirty || hungry || n.reign.core.Changed()
-		if hungry && len(n.reign.waiters) < n.mostWaiters() {
+		a, ok = n.leadership.core.Report(r, n.now()), true
+		hungry := n.leadership.core.Hungry(r.Host)
+		n.dirty = n.dirty || hungry || n.leadership.core.Changed()
+		if hungry && len(n.leadership.waiters) < n.mostWaiters() {
 			fresh = make(chan []wire.Order, 1)
-			n.reign.waiters = append(n.reign.waiters, waiter{r.Host, n.reign.passes, fresh})
+			n.leadership.waiters = append(n.leadership.waiters, waiter{r.Host, n.leadership.passes, fresh})
 		}
 	})
 	if !ok || !done {
@@ -426,8 +426,8 @@
 		case <-ctx.Done():
 		}
 	}
-	_, _, reigning = n.view()
-	return a, reigning == a.Token && n.awake()
+	_, _, leading = n.view()
+	return a, leading == a.Token && n.awake()
 }
 
 // mostWaiters is how many reports may wait for launches at a time: each holds a socket
@@ -443,15 +443,15 @@
 
 const launchWait = 600 * time.Millisecond
 
-// Report implements api.Service: the overseer answers itself, other nodes relay
+// Report implements api.Service: the leader answers itself, other nodes relay
 // to it, so that no worker has to find it.
 func (n *Node) Report(ctx context.Context, r *wire.Report) (wire.ReportAnswer, error) {
 	n.hears(r.Host)
 	if a, ok := n.report(ctx, r); ok {
 		return a, nil
 	}
-	leader, token, reigning := n.view()
-	if reigning != 0 || leader == "" || leader == n.set.Label || r.Token > token {
+	leader, token, leading := n.view()
+	if leading != 0 || leader == "" || leader == n.set.Label || r.Token > token {
 		return wire.ReportAnswer{}, api.ErrNotNow
 	}
 	p := n.peers[leader]
@@ -474,7 +474,7 @@
 	return a.Answer, nil
 }
 
-// another names a peer that is alive, for a worker whose report the overseer did
+// another names a peer that is alive, for a worker whose report the leader did
 // not take. Left to itself the worker tries the nodes in turn and waits 4 s for
 // each that is silent; behind two such nodes its lease runs out. It bounds how many
 // are sent on, since they come back at once while nobody can act.
--- a/internal/node/recur.go
+++ b/internal/node/recur.go
@@ -19,7 +19,7 @@
 func scheduleKey(name string) string { return schedulePrefix + name }
 
 // loadSchedules makes the engine of a term from the calendar and what is stored.
-func (r *reign) loadSchedules(entries []wire.Entry) error {
+func (r *leadership) loadSchedules(entries []wire.Entry) error {
 	n := r.n
 	if n.cal == nil {
 		return nil
@@ -40,7 +40,7 @@
 }
 
 // jobs answers the engine from the core. Owner goroutine.
-type jobs struct{ r *reign }
+type jobs struct{ r *leadership }
 
 func (j jobs) Running(id string) bool { return j.r.core.Active(id) }
 
@@ -54,7 +54,7 @@
 
 // recurring decides what is due and has it stored, one batch at a time: as many
 // schedules as a transaction takes, two changes for each that runs. Owner goroutine.
-func (r *reign) recurring() {
+func (r *leadership) recurring() {
 	if r.recur == nil || r.busyRecur {
 		return
 	}
@@ -68,7 +68,7 @@
 // storeRuns stores decisions together or, if that is refused, one by one. What the
 // service takes is shared with launches: a batch waits until its changes are no more
 // than an eighth of it.
-func (r *reign) storeRuns(ds []recur.Decision) {
+func (r *leadership) storeRuns(ds []recur.Decision) {
 	n := r.n
 	changes := 0
 	for _, d := range ds {
@@ -90,7 +90,7 @@
 
 // storeDecisions runs one transaction: each schedule's state is what the decision
 // rests on, no job of the ids exists or ever did, and the term is this node's.
-func (r *reign) storeDecisions(ds []recur.Decision) (failed []string, version uint64, err error) {
+func (r *leadership) storeDecisions(ds []recur.Decision) (failed []string, version uint64, err error) {
 	n := r.n
 	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
 	for _, d := range ds {
@@ -125,9 +125,9 @@
 }
 
 // runsStored tells the engine and the core. Owner goroutine.
-func (r *reign) runsStored(ds []recur.Decision, version uint64) {
+func (r *leadership) runsStored(ds []recur.Decision, version uint64) {
 	n := r.n
-	if n.reign != r {
+	if n.leadership != r {
 		return
 	}
 	for _, d := range ds {
@@ -150,7 +150,7 @@
 // storeOne stores a decision, or finds out why it is not stored. Without an answer it
 // may be applied even later, but only as long as the schedule's state is the same: so
 // what is read back is decided upon anew, and one of the two is refused.
-func (r *reign) storeOne(d recur.Decision) {
+func (r *leadership) storeOne(d recur.Decision) {
 	n := r.n
 	failed, version, err := r.storeDecisions([]recur.Decision{d})
 	if err == nil {
@@ -174,7 +174,7 @@
 				e.Version = 0
 			}
 			n.post(func() {
-				if n.reign == r {
+				if n.leadership == r {
 					r.recur.Again(d, st, e.Version, taken, time.Now().UnixMicro()+1_000_000)
 				}
 			})
--- a/internal/node/schedules.go
+++ b/internal/node/schedules.go
@@ -77,7 +77,7 @@
 	case found:
 		return st, e.Version, wire.Unmarshal(e.Value, &st)
 	case n.cal.Find(name) != nil:
-		return st, 0, api.ErrNotNow // the overseer has yet to take it up
+		return st, 0, api.ErrNotNow // the leader has yet to take it up
 	}
 	return st, 0, api.ErrUnknown
 }
@@ -92,7 +92,7 @@
 }
 
 // PauseSchedule implements api.Calendars. Any node may: the change is conditional on
-// what was read, and the overseer's next decision, conditional on what it knows, is
+// what was read, and the leader's next decision, conditional on what it knows, is
 // refused and made anew.
 func (n *Node) PauseSchedule(ctx context.Context, name string, paused bool) (wire.Schedule, error) {
 	for range 5 {
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -27,7 +27,7 @@
 // snapshots writes a copy of the state into the operator's directory from time to
 // time, while this node holds the term. Reads wait for this node's share of the state
 // service's limit, and between pages for more, so that users come first.
-func (r *reign) snapshots(ctx context.Context) {
+func (r *leadership) snapshots(ctx context.Context) {
 	n := r.n
 	dir := n.set.Operator.SnapshotDir
 	if dir == "" {
@@ -58,14 +58,14 @@
 	}
 }
 
-// copyPrefixes is what an overseer reads when it takes over, but for the ends of jobs.
+// copyPrefixes is what a leader reads when it takes over, but for the ends of jobs.
 var copyPrefixes = []string{jobPrefix, donePrefix, ledgerPrefix, learnedKey, hirePrefix, schedulePrefix}
 
 func nothing(string) bool { return false }
 
 // copies stores what a takeover needs in the state service from time to time, so that
-// the next overseer reads few long values instead of many short ones.
-func (r *reign) copies(ctx context.Context) {
+// the next leader reads few long values instead of many short ones.
+func (r *leadership) copies(ctx context.Context) {
 	n := r.n
 	every := seconds(*n.set.Operator.TakeoverCopyS)
 	if every <= 0 {
@@ -105,8 +105,8 @@
 
 // loadCopy returns the stored state as of now from the newest copy and what has
 // changed since, or nil: then everything is read, which comes to the same. What is
-// older than the term is never used, since the last overseer may have written after it.
-func (r *reign) loadCopy() *snapshot.Snapshot {
+// older than the term is never used, since the last leader may have written after it.
+func (r *leadership) loadCopy() *snapshot.Snapshot {
 	n := r.n
 	if *n.set.Operator.TakeoverCopyS <= 0 {
 		return nil
@@ -125,7 +125,7 @@
 }
 
 // list reads the keys with a prefix from a copy, or from the state service.
-func (r *reign) list(copied *snapshot.Snapshot, prefix string) ([]wire.Entry, uint64, error) {
+func (r *leadership) list(copied *snapshot.Snapshot, prefix string) ([]wire.Entry, uint64, error) {
 	if copied != nil {
 		return copied.Entries(prefix), copied.Revision, nil
 	}
--- a/internal/node/snapshot_test.go
+++ b/internal/node/snapshot_test.go
@@ -50,7 +50,7 @@
 		}
 		svc.Set(termKey, termRecord{Node: "a", Mark: "a.1"})
 		e, _ := svc.Entry(termKey)
-		r := &reign{n: n, token: e.Version, ctx: context.Background()}
+		r := &leadership{n: n, token: e.Version, ctx: context.Background()}
 		if r.loadCopy() != nil {
 			t.Fatal("there is no copy yet")
 		}
@@ -79,7 +79,7 @@
 	}
 }
 
-// BenchmarkTakeover counts what a new overseer asks of the state service, with and
+// BenchmarkTakeover counts what a new leader asks of the state service, with and
 // without a copy, for some numbers of live jobs and of jobs that are over.
 func BenchmarkTakeover(b *testing.B) {
 	for _, live := range []int{1000, 10_000} {
@@ -117,7 +117,7 @@
 	}
 	svc.Set(termKey, termRecord{Node: "a", Mark: "a.1"})
 	e, _ := svc.Entry(termKey)
-	r := &reign{n: n, token: e.Version, ctx: state.Urgent(context.Background()), chunks: map[string]int{}}
+	r := &leadership{n: n, token: e.Version, ctx: state.Urgent(context.Background()), chunks: map[string]int{}}
 	if copies {
 		snap, err := snapshot.Take(r.ctx, n.state, copyPrefixes, nothing, n.now)
 		if err == nil {
--- a/internal/node/standby.go
+++ b/internal/node/standby.go
@@ -17,7 +17,7 @@
 )
 
 // warm is what a node does that stands by warm: it follows the stored state, and watches
-// the overseer's process. docs/standby.md.
+// the leader's process. docs/standby.md.
 type warm struct {
 	n *Node
 
@@ -116,8 +116,8 @@
 	store := paced{n.state, seconds(standbys / (0.1 * n.set.Deployment.State.RPS))}
 	audit := time.Now()
 	for ctx.Err() == nil {
-		_, _, reigning := n.view()
-		if n.rank() < 0 || reigning != 0 || *n.set.Operator.Standbys == 0 {
+		_, _, leading := n.view()
+		if n.rank() < 0 || leading != 0 || *n.set.Operator.Standbys == 0 {
 			w.mu.Lock()
 			w.copy = nil
 			w.mu.Unlock()
@@ -272,7 +272,7 @@
 
 // takeOver returns what the copy has of the stored state, brought up to the term that this
 // node has just taken, or nil and why the state has to be read instead.
-func (w *warm) takeOver(ctx context.Context, token uint64, h *hold) (*stored, string) {
+func (w *warm) takeOver(ctx context.Context, token uint64, h *lease) (*stored, string) {
 	n := w.n
 	w.mu.Lock()
 	c := w.copy
@@ -301,7 +301,7 @@
 }
 
 // publish chooses who stands by, once a second. Owner goroutine.
-func (r *reign) publish() {
+func (r *leadership) publish() {
 	n := r.n
 	count := *n.set.Operator.Standbys
 	now := n.now()
@@ -336,7 +336,7 @@
 
 // takeView takes a view that a hello brought. The lock is held.
 func (n *Node) takeView(h *peer.Hello) {
-	if h.View != nil && n.reigning == 0 && len(h.View.Standbys) <= len(n.set.Members)+1 && h.View.Newer(&n.stand) {
+	if h.View != nil && n.leading == 0 && len(h.View.Standbys) <= len(n.set.Members)+1 && h.View.Newer(&n.stand) {
 		n.stand = *h.View
 	}
 }
@@ -358,9 +358,9 @@
 	return time.Duration(before) * each
 }
 
-// watchOverseer notices the end of the overseer's process, while this node stands by, and
-// lets the term be replaced without waiting for the hold.
-func (w *warm) watchOverseer(ctx context.Context) {
+// watchLeader notices the end of the leader's process, while this node stands by, and
+// lets the term be replaced without waiting for the lease.
+func (w *warm) watchLeader(ctx context.Context) {
 	n := w.n
 	if w.suspicion.Wait <= 0 || len(n.peers) < 2 {
 		return
@@ -369,9 +369,9 @@
 	was := ""
 	connected := false
 	for ; ctx.Err() == nil; time.Sleep(look) {
-		leader, token, reigning := n.view()
+		leader, token, leading := n.view()
 		p := n.peers[leader]
-		if reigning != 0 || p == nil || n.rank() < 0 {
+		if leading != 0 || p == nil || n.rank() < 0 {
 			was, connected = "", false
 			continue
 		}
@@ -385,7 +385,7 @@
 		n.mu.Unlock()
 		w.mu.Lock()
 		if acts.token == token && acts.process != 0 && born == acts.process && heard < time.Second {
-			w.suspicion.Overseer(token, born)
+			w.suspicion.Leader(token, born)
 		}
 		w.mu.Unlock()
 		if leader != was {
@@ -411,7 +411,7 @@
 	}
 }
 
-// ended gathers evidence that the process of the overseer has ended, and says whether it
+// ended gathers evidence that the process of the leader has ended, and says whether it
 // suffices to replace its term.
 func (w *warm) ended(ctx context.Context, leader string, p *peer.Client, token, born uint64) bool {
 	n := w.n
@@ -457,7 +457,7 @@
 	return false
 }
 
-// askOthers asks all other controllers whether they reach the overseer's process.
+// askOthers asks all other controllers whether they reach the leader's process.
 func (w *warm) askOthers(ctx context.Context, leader string, born uint64) {
 	n := w.n
 	var all sync.WaitGroup
--- a/internal/node/standstill_test.go
+++ b/internal/node/standstill_test.go
@@ -27,8 +27,8 @@
 		n.set.Operator.EvictAfterS, n.set.Operator.CheckpointMBS = &f, &f
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		r := &reign{n: n, token: 5, ctx: ctx, cancel: cancel, core: sched.New(n.set, 5, n.now(), wire.Catalog{}, func(string, ...any) {})}
-		n.reign, n.reigning, n.token = r, 5, 5
+		r := &leadership{n: n, token: 5, ctx: ctx, cancel: cancel, core: sched.New(n.set, 5, n.now(), wire.Catalog{}, func(string, ...any) {})}
+		n.leadership, n.leading, n.token = r, 5, 5
 		n.beat.Store(n.now() - 25*standstill)
 		if n.awake() || r.mine() {
 			t.Errorf("%s: what woke before the owner goroutine may act", c.name)
@@ -42,8 +42,8 @@
 			t.Errorf("%s: scheduled before the term was read", c.name)
 		}
 		(<-n.events)() // what reading the term leads to
-		if _, _, reigning := n.view(); (reigning == 5) != c.acts || (n.reign == r) != c.acts {
-			t.Errorf("%s: acts under %d", c.name, reigning)
+		if _, _, leading := n.view(); (leading == 5) != c.acts || (n.leadership == r) != c.acts {
+			t.Errorf("%s: acts under %d", c.name, leading)
 		}
 	}
 }
@@ -63,7 +63,7 @@
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		r := &reign{n: n, token: 5, ctx: ctx, cancel: cancel}
+		r := &leadership{n: n, token: 5, ctx: ctx, cancel: cancel}
 		n.beat.Store(n.now())
 		if got := r.mine(); got != (code == 200) {
 			t.Errorf("the service answers %d: may return machines %v", code, got)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -16,7 +16,7 @@
 // commit stores a write-ahead batch. While its outcome is unknown it is asked
 // again under the same conditions: its entries are created once, so that only one
 // copy can ever be applied.
-func (r *reign) commit(cm *sched.Commit) {
+func (r *leadership) commit(cm *sched.Commit) {
 	n := r.n
 	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
 	for _, e := range cm.Entries {
@@ -56,10 +56,10 @@
 	}
 }
 
-func (r *reign) commitDone(cm *sched.Commit, ok bool) {
+func (r *leadership) commitDone(cm *sched.Commit, ok bool) {
 	n := r.n
 	n.post(func() {
-		if n.reign != r {
+		if n.leadership != r {
 			return
 		}
 		r.busyCommit = false
@@ -75,7 +75,7 @@
 
 // conflict finds out why a batch failed: the term is lost, a job has ended, or
 // an earlier copy of the same batch was applied after all.
-func (r *reign) conflict(cm *sched.Commit, failed []string) {
+func (r *leadership) conflict(cm *sched.Commit, failed []string) {
 	n := r.n
 	for r.ctx.Err() == nil {
 		again, applied := false, false
@@ -93,7 +93,7 @@
 				}
 			case strings.HasPrefix(k, endPrefix) && found:
 				n.post(func() {
-					if n.reign == r {
+					if n.leadership == r {
 						r.ended(strings.TrimPrefix(k, endPrefix), e.Value)
 					}
 				})
@@ -117,7 +117,7 @@
 
 // storeEnds makes jobs done, unless they were cancelled before: all in one
 // transaction, or one by one if that fails.
-func (r *reign) storeEnds(ids []string, done []int) {
+func (r *leadership) storeEnds(ids []string, done []int) {
 	n := r.n
 	ctx, cancel := context.WithTimeout(r.ctx, 4*time.Second)
 	defer cancel()
@@ -149,7 +149,7 @@
 	}
 	n.post(func() {
 		r.busyEnds = false
-		if n.reign != r {
+		if n.leadership != r {
 			return
 		}
 		for i, id := range ids {
@@ -167,7 +167,7 @@
 // progressTxn stores progress, each chunk on condition that it is as last stored or read: a
 // copy of an earlier transaction that got no answer may be applied after it, and would take
 // back what tasks have been cleared for since. Owner goroutine.
-func (r *reign) progressTxn(cs []sched.Chunk) wire.Txn {
+func (r *leadership) progressTxn(cs []sched.Chunk) wire.Txn {
 	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
 	for _, c := range cs {
 		key := chunkKey(c.Job, c.Index)
@@ -177,7 +177,7 @@
 	return txn
 }
 
-func (r *reign) storeProgress(cs []sched.Chunk, txn wire.Txn) {
+func (r *leadership) storeProgress(cs []sched.Chunk, txn wire.Txn) {
 	n := r.n
 	a, err := n.state.Multi(r.ctx, txn)
 	changed := map[string]uint64{} // versions that are another than thought
@@ -197,7 +197,7 @@
 	n.post(func() {
 		r.busyProgress = false
 		maps.Copy(r.chunkAt, changed)
-		if n.reign != r || err != nil {
+		if n.leadership != r || err != nil {
 			return
 		}
 		for _, c := range cs {
@@ -216,13 +216,13 @@
 // in twenty seconds.
 const learnEvery = 20_000_000
 
-func (r *reign) storeLearned(l sched.Learned) {
+func (r *leadership) storeLearned(l sched.Learned) {
 	n := r.n
 	_, _ = n.state.Multi(r.ctx, wire.Txn{If: []wire.Cond{r.termCond()}, Then: []wire.Change{{Put: learnedKey, Value: l}}})
 	n.post(func() { r.busyLearned = false })
 }
 
-func (r *reign) deleteKeys(keys []string) {
+func (r *leadership) deleteKeys(keys []string) {
 	n := r.n
 	err := r.deleteNow(keys)
 	time.Sleep(time.Second)
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -19,18 +19,18 @@
 }
 
 // hold is a lease of the state service, renewed in the background.
-type hold struct {
+type lease struct {
 	id   uint64
 	dead atomic.Bool
 }
 
-// keepHold opens a hold and renews it until it ends for certain.
-func (n *Node) keepHold(ctx context.Context, ttl time.Duration) (*hold, error) {
+// keepLease opens a lease and renews it until it ends for certain.
+func (n *Node) keepLease(ctx context.Context, ttl time.Duration) (*lease, error) {
 	id, err := n.state.Hold(ctx, ttl)
 	if err != nil {
 		return nil, err
 	}
-	h := &hold{id: id}
+	h := &lease{id: id}
 	go func() {
 		for !h.dead.Load() {
 			select {
@@ -61,7 +61,7 @@
 // A term that names this node here is one under which nobody acts: an earlier process has
 // left it (this one listens on the node's addresses, which only one process can, so the other
 // has ended), or this process took it and was not told so, or has given it up. It is replaced
-// at once instead of after the hold has run out. What was sent under it may still arrive, as
+// at once instead of after the lease has run out. What was sent under it may still arrive, as
 // it may after any takeover: writes are conditional on the version that is replaced, launches
 // are in the ledger, and any word to workers carries the lower token.
 func (n *Node) termLoop(ctx context.Context) {
@@ -104,16 +104,15 @@
 			}
 			left = 0
 		}
-		// A hold is opened only now: those of all the nodes that merely stand by
+		// A lease is opened only now: those of all the nodes that merely stand by
 		// would cost the service more requests than the term itself.
-		h, err := n.keepHold(ctx, ttl)
+		h, err := n.keepLease(ctx, ttl)
 		if err != nil {
 			rest(ctx, 100*time.Millisecond)
 			continue
 		}
-		// The service never gives a hold's number twice, whatever the clocks say.
+		// The service never gives a lease's number twice, whatever the clocks say.
 		mark := fmt.Sprintf("%s.%d.%d", n.set.Label, n.wall, h.id)
-		asked := n.now()
 		a, err := n.state.Multi(ctx, wire.Txn{
 			If:   []wire.Cond{{Key: termKey, Version: left}},
 			Then: []wire.Change{{Put: termKey, Value: termRecord{n.set.Label, mark, n.born}, Lease: h.id}},
@@ -132,8 +131,8 @@
 			continue
 		}
 		n.log.Info("term taken", "node", n.set.Label, "token", token, "replaced", left)
-		n.reignOver(ctx, token, h, asked)
-		h.dead.Store(true) // a term's hold is not used again
+		n.lead(ctx, token, h)
+		h.dead.Store(true) // a term's lease is not used again
 		_ = n.state.Release(ctx, h.id)
 		if n.resigned(token) {
 			rest(ctx, 15*time.Second)
--- a/internal/node/users_test.go
+++ b/internal/node/users_test.go
@@ -138,7 +138,7 @@
 }
 
 // A node that does not hold the term must not answer a report with 200, and
-// without the overseer's grant it must not renew a lease either.
+// without the leader's grant it must not renew a lease either.
 func TestNotEntitled(t *testing.T) {
 	n := testNode(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 	r := &wire.Report{Host: "n-1", Type: "s", Zone: "x", Session: 1, Seq: 1, Token: 5}
--- a/internal/node/warm_test.go
+++ b/internal/node/warm_test.go
@@ -16,7 +16,7 @@
 	"dalefront/wire"
 )
 
-// tended is a node at a played state service, in which it is the overseer's writer too.
+// tended is a node at a played state service, in which it is the leader's writer too.
 type tended struct {
 	*Node
 	t    testing.TB
@@ -110,8 +110,8 @@
 }
 
 // reignNow is a term of this node that has not loaded anything yet.
-func (w *tended) reignNow() *reign {
-	return &reign{n: w.Node, token: w.term, ctx: w.ctx, cancel: func() {}, hold: &hold{}, chunks: map[string]int{}}
+func (w *tended) leadsNow() *leadership {
+	return &leadership{n: w.Node, token: w.term, ctx: w.ctx, cancel: func() {}, lease: &lease{}, chunks: map[string]int{}}
 }
 
 // followed reads the state as a standby does, and lets things happen while it follows.
@@ -146,13 +146,13 @@
 		w.followed(12)
 		w.live(w.rng.IntN(30)) // the copy lags
 		w.take()
-		cold := w.reignNow()
+		cold := w.leadsNow()
 		read, err := cold.read()
 		if err != nil {
 			t.Fatal(err)
 		}
-		warm := w.reignNow()
-		copied, why := w.warm.takeOver(w.ctx, w.term, warm.hold)
+		warm := w.leadsNow()
+		copied, why := w.warm.takeOver(w.ctx, w.term, warm.lease)
 		if copied == nil {
 			t.Fatalf("seed %d: %s", seed, why)
 		}
@@ -183,26 +183,26 @@
 func TestDoubtMeansCold(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		do   func(w *tended, c *standby.Copy, h *hold)
+		do   func(w *tended, c *standby.Copy, h *lease)
 	}{
 		{"nothing", nil},
-		{"entry lost", func(w *tended, c *standby.Copy, _ *hold) {
+		{"entry lost", func(w *tended, c *standby.Copy, _ *lease) {
 			c.Keep = func(k string) bool { return !strings.HasPrefix(k, ledgerPrefix) && !strings.HasPrefix(k, jobPrefix) }
 			w.live(20) // what is created now is missed
 			ev, err := w.state.Changes(w.ctx, "", c.Revision(), 0)
 			w.warm.took(c, ev, err)
 			c.Keep = func(string) bool { return true }
 		}},
-		{"hold lost", func(_ *tended, _ *standby.Copy, h *hold) { h.dead.Store(true) }},
-		{"standstill", func(w *tended, _ *standby.Copy, _ *hold) { w.beat.Store(w.now() - 3*standstill) }},
-		{"higher token", func(w *tended, _ *standby.Copy, _ *hold) { w.learn("b", w.term+1000) }},
-		{"no store", func(w *tended, _ *standby.Copy, _ *hold) { w.svc.SetDown(true) }},
-		{"compacted", func(w *tended, c *standby.Copy, _ *hold) { c.Lost("compacted") }},
+		{"hold lost", func(_ *tended, _ *standby.Copy, h *lease) { h.dead.Store(true) }},
+		{"standstill", func(w *tended, _ *standby.Copy, _ *lease) { w.beat.Store(w.now() - 3*standstill) }},
+		{"higher token", func(w *tended, _ *standby.Copy, _ *lease) { w.learn("b", w.term+1000) }},
+		{"no store", func(w *tended, _ *standby.Copy, _ *lease) { w.svc.SetDown(true) }},
+		{"compacted", func(w *tended, c *standby.Copy, _ *lease) { c.Lost("compacted") }},
 	} {
 		w := newTended(t, 5)
 		w.live(60)
 		copied := w.followed(5)
-		h := &hold{}
+		h := &lease{}
 		w.take()
 		w.beat.Store(w.now())
 		if c.do != nil {
@@ -226,14 +226,14 @@
 			e := sched.Entry{Hosts: []sched.EntryHost{{Host: fmt.Sprintf("n-%06d", i), Type: "s", Zone: "x", Session: 1}}, Runs: []sched.Run{{Job: id, Attempt: 1, Tasks: []int32{1, 2, 3, 4}}}}
 			w.write(wire.Change{Put: jobKey(id), Value: jobRecord{Job: j, Arrival: w.now()}}, wire.Change{Put: ledgerPrefix + id, Value: e})
 		}
-		run := func(name string, load func(r *reign) *stored) {
+		run := func(name string, load func(r *leadership) *stored) {
 			b.Run(fmt.Sprint(name, "/", jobs), func(b *testing.B) {
 				var took, most config.Micros
 				n := 0
 				for b.Loop() {
 					w.beat.Store(w.now())
 					w.take()
-					r := w.reignNow()
+					r := w.leadsNow()
 					began := time.Now()
 					if _, err := r.build(load(r)); err != nil {
 						b.Fatal(err)
@@ -246,7 +246,7 @@
 				b.ReportMetric(float64(most)/1000, "ms-most")
 			})
 		}
-		run("cold", func(r *reign) *stored {
+		run("cold", func(r *leadership) *stored {
 			s, err := r.read()
 			if err != nil {
 				b.Fatal(err)
@@ -254,9 +254,9 @@
 			return s
 		})
 		copied := w.followed(0)
-		run("warm", func(r *reign) *stored {
+		run("warm", func(r *leadership) *stored {
 			w.warm.copy = copied
-			s, why := w.warm.takeOver(w.ctx, r.token, r.hold)
+			s, why := w.warm.takeOver(w.ctx, r.token, r.lease)
 			if s == nil {
 				b.Fatal(why)
 			}
--- a/internal/peer/handover.go
+++ b/internal/peer/handover.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// HandOver asks a controller to hand its term over, if it is the overseer under the token.
+// HandOver asks a controller to hand its term over, if it is the leader under the token.
 type HandOver struct {
 	Token uint64 `msgpack:"t"`
 }
@@ -26,7 +26,7 @@
 // Close ends the connection.
 func (c *Client) Close() error { return c.conn.Close() }
 
-// Change is a change of overseer.
+// Change is a change of leader.
 type Change struct {
 	From, To string
 	Token    uint64
@@ -34,18 +34,18 @@
 }
 
 var (
-	// ErrNoOverseer means that no controller in reach acts as overseer.
-	ErrNoOverseer = errors.New("no controller in reach acts as overseer")
+	// ErrNoLeader means that no controller in reach acts as leader.
+	ErrNoLeader = errors.New("no controller in reach acts as overseer")
 	// ErrAlone means that no other controller answers who could take over.
 	ErrAlone = errors.New("no other controller answers")
-	// ErrNobody means that the overseer has given its term up and nobody acts yet.
+	// ErrNobody means that the leader has given its term up and nobody acts yet.
 	ErrNobody = errors.New("the term was handed over, and nobody acts yet")
 )
 
-// ChangeOverseer lets the overseer among the controllers at the addresses hand its term over,
+// ChangeLeader lets the leader among the controllers at the addresses hand its term over,
 // and returns once another one acts, or with an error when the context ends. Nothing that
 // runs is stopped.
-func ChangeOverseer(ctx context.Context, addrs []string) (Change, error) {
+func ChangeLeader(ctx context.Context, addrs []string) (Change, error) {
 	var clients []*Client
 	for _, addr := range addrs {
 		c, err := Dial(addr)
@@ -73,7 +73,7 @@
 	old, was, answer := acting()
 	switch {
 	case old == nil:
-		return Change{}, ErrNoOverseer
+		return Change{}, ErrNoLeader
 	case answer < 2:
 		return Change{}, fmt.Errorf("%w: %s would take the term again", ErrAlone, was.From)
 	}
@@ -83,7 +83,7 @@
 		return Change{}, fmt.Errorf("%s: %w", was.From, err)
 	}
 	if !did {
-		return Change{}, fmt.Errorf("%w: %s no longer does", ErrNoOverseer, was.From)
+		return Change{}, fmt.Errorf("%w: %s no longer does", ErrNoLeader, was.From)
 	}
 	for {
 		if _, h, _ := acting(); h != nil && h.Token > was.Token {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,12 +34,12 @@
 	Heard  []Heard `msgpack:"h,omitempty"`
 
 	// Peers of an earlier version leave these out.
-	Acts  bool   `msgpack:"x,omitempty"` // the sender acts as overseer under the token
+	Acts  bool   `msgpack:"x,omitempty"` // the sender acts as leader under the token
 	Born  uint64 `msgpack:"b,omitempty"` // of the sender's process: another one each time it is started
 	Ends  int    `msgpack:"e,omitempty"` // in an answer: how often the asking node was started anew lately
 	Grant uint64 `msgpack:"g,omitempty"` // the token of a grant that the sender holds
 
-	View  *standby.View `msgpack:"v,omitempty"` // who stands by, as the overseer or whoever heard it says
+	View  *standby.View `msgpack:"v,omitempty"` // who stands by, as the leader or whoever heard it says
 	Unfit bool          `msgpack:"u,omitempty"` // the sender could not follow lately
 
 	// A question whether the receiver reaches a process of another node, and its answer.
@@ -58,12 +58,12 @@
 // stays below the limit of a message.
 const MostHeard = 16_384
 
-// Relay carries a worker's report to the overseer.
+// Relay carries a worker's report to the leader.
 type Relay struct {
 	Report wire.Report `msgpack:"r"`
 }
 
-// RelayAnswer is the overseer's answer; Status is that of HTTP.
+// RelayAnswer is the leader's answer; Status is that of HTTP.
 type RelayAnswer struct {
 	Status int               `msgpack:"s"`
 	Answer wire.ReportAnswer `msgpack:"a"`
@@ -74,7 +74,7 @@
 	IDs []string `msgpack:"i"`
 }
 
-// CountsAnswer holds them for the jobs that the overseer knows.
+// CountsAnswer holds them for the jobs that the leader knows.
 type CountsAnswer struct {
 	Jobs []wire.JobStatus `msgpack:"j"`
 }
@@ -162,7 +162,7 @@
 // Again lets the next call try to connect at once, whatever failed before.
 func (c *Client) Again() { c.conn.ResetConnectBackoff() }
 
-// Relay hands a report to the overseer.
+// Relay hands a report to the leader.
 func (c *Client) Relay(ctx context.Context, r *Relay) (*RelayAnswer, error) {
 	return call[RelayAnswer](c, 1500*time.Millisecond, ctx, "Relay", r)
 }
--- a/internal/recur/recur_test.go
+++ b/internal/recur/recur_test.go
@@ -104,9 +104,9 @@
 }
 
 // year plays so many days and returns the runs and misses of each schedule. With
-// troubles the overseer is taken over between decision and storing, transactions are
+// troubles the leader is taken over between decision and storing, transactions are
 // lost, applied unseen or late, the state service is away for hours, clocks differ, and
-// an earlier overseer goes on with what it knew.
+// an earlier leader goes on with what it knew.
 func year(t *testing.T, c *calendar.Calendar, seed uint64, troubles bool, days int) *store {
 	r := rand.New(rand.NewPCG(seed, 3))
 	s := newStore()
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -91,7 +91,7 @@
 // settled says whether nearly all machines that are up have confirmed the term, or have
 // had the time to. Before, a job seems to have no room only because the machines that
 // have some have not reported yet, and what made way for it would have done so in vain:
-// when overseers end every few seconds, again and again.
+// when leaders end every few seconds, again and again.
 func (c *Core) settled() bool {
 	if c.now-c.since > config.Micro(1.25*c.set.Deployment.Workers.ReportS)+second {
 		return true
--- a/internal/sched/learned.go
+++ b/internal/sched/learned.go
@@ -8,7 +8,7 @@
 	"dalefront/internal/domain"
 )
 
-// Learned is what an overseer has observed and its successor would otherwise have
+// Learned is what a leader has observed and its successor would otherwise have
 // to observe anew. It decides nothing by itself: a late or missing copy only costs
 // time.
 type Learned struct {
@@ -78,7 +78,7 @@
 	return l
 }
 
-// Remember takes what the last overseer observed, after the jobs. Times of day of
+// Remember takes what the last leader observed, after the jobs. Times of day of
 // different nodes differ a little, which does not matter here.
 func (c *Core) Remember(l Learned) {
 	if l.Write > 0 {
@@ -102,7 +102,7 @@
 		}
 	}
 	for _, x := range l.Suspect {
-		// Otherwise overseers that end one after the other would each try such jobs with
+		// Otherwise leaders that end one after the other would each try such jobs with
 		// all their tasks, in room that others wait for.
 		if j := c.jobs[x.ID]; j != nil && j.doneCount == 0 && len(x.Hosts) == 2 && x.Hosts[0] != x.Hosts[1] {
 			j.errorHosts = map[string]bool{x.Hosts[0]: true, x.Hosts[1]: true}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -67,7 +67,7 @@
 	// A gang on more machines than one transaction can name takes several, each a
 	// commit; this is the one to be stored after it. Nothing of any is launched before the
 	// last is stored. One that is refused undoes all; what was stored of them until then
-	// are entries without launches. If the overseer ends in between, the next one finds
+	// are entries without launches. If the leader ends in between, the next one finds
 	// those: they are proven gone by the machines' reports, like any launch that never
 	// arrived, and the gang's missing tasks are placed anew.
 	next *Commit
@@ -140,10 +140,10 @@
 	}
 }
 
-// keepBooks lets the batch delete entries that are spent and take over what is
-// left of those that name returned machines: a later overseer would otherwise
+// tidyLedger lets the batch delete entries that are spent and take over what is
+// left of those that name returned machines: a later leader would otherwise
 // wait for machines that are gone.
-func (c *Core) keepBooks(b *batch) {
+func (c *Core) tidyLedger(b *batch) {
 	due := len(b.placements) > 0 || len(c.strays) > 0 || c.now-c.kept >= second
 	if !due {
 		return
--- a/internal/sched/ledger_test.go
+++ b/internal/sched/ledger_test.go
@@ -63,7 +63,7 @@
 // A gang on more machines than one transaction can name once waited for ever. It takes
 // several transactions: nothing is launched before the last is stored, whatever one that
 // is refused, a job that ends, a machine that goes or a takeover makes of it in between;
-// then what was stored is undone, or the next overseer finishes it, and no task is ever
+// then what was stored is undone, or the next leader finishes it, and no task is ever
 // on two machines.
 func TestGangInSeveralTransactions(t *testing.T) {
 	const n = 700
@@ -201,7 +201,7 @@
 
 // An entry goes once nothing in it can be on a machine any more, and not before.
 // What is left of an entry that names a returned machine moves to a later one:
-// the next overseer would otherwise wait for a machine that is gone.
+// the next leader would otherwise wait for a machine that is gone.
 func TestEntriesGo(t *testing.T) {
 	b := newBed(t, config.Team{Name: "a"})
 	store := map[string]Entry{}
@@ -293,7 +293,7 @@
 
 // A takeover used to forget how long tasks really run and how many arrive: owners'
 // estimates counted again, and machines that were about to be needed went back.
-func TestLearnedOutlivesTheOverseer(t *testing.T) {
+func TestLearnedOutlivesTheLeader(t *testing.T) {
 	b := newBed(t, config.Team{Name: "a"})
 	b.AddJob(spec("j-1", "a", wire.Normal, 40, 1), b.now, b.now)
 	cl := b.jobs["j-1"].class
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -1,6 +1,6 @@
 // Package sched is the scheduler's core. It is pure: events and the time go
 // in, effects come out; it does no I/O and reads no clock. One goroutine, the
-// overseer's owner, drives it.
+// leader's owner, drives it.
 package sched
 
 import (
@@ -305,7 +305,7 @@
 	listed    Micros // when a list last showed it
 	up        bool   // a report came, ever
 	booting   bool   // it was seen to boot in this term, and its boot has not ended
-	confirmed bool   // a report carried this overseer's token in this session
+	confirmed bool   // a report carried this leader's token in this session
 	session   uint64
 	seq       uint64
 	lastHello Micros // when the newest report came
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -12,7 +12,7 @@
 // than whether their image is there, so it is found out once for all of them, and anew
 // only where an eviction changed it; and a zone that can't have room for a gang, whatever
 // its images are, is not looked at. Without that, a hundred waiting gangs at 1,600
-// machines took more than the overseer's share of a processor.
+// machines took more than the leader's share of a processor.
 
 // holdFor is how long a gang may take to start once it could.
 const holdFor = 5 * second
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -147,13 +147,13 @@
 	return c.now-max(c.woke, c.since) >= 2*config.Micro(c.set.Deployment.Workers.ReportS)+second
 }
 
-// Report takes a worker's report that this overseer is entitled to answer with
+// Report takes a worker's report that this leader is entitled to answer with
 // 200, and returns the answer.
 //
 // What a report proves rests on the order in which a worker acts: it has one
 // report in flight at a time and drops an answer once it has given up on the
 // report. So when the newest report of a worker that has seen this term's token
-// arrives, no answer to it is outstanding, answers of older overseers will be
+// arrives, no answer to it is outstanding, answers of older leaders will be
 // dropped, and the machine holds exactly the tasks listed.
 func (c *Core) Report(r *wire.Report, now Micros) wire.ReportAnswer {
 	c.now = now
@@ -174,7 +174,7 @@
 	}
 	if r.Token != c.token {
 		// The worker has not seen this term's token. Its list may predate a
-		// launch by an older overseer, so it proves nothing; but the answer
+		// launch by an older leader, so it proves nothing; but the answer
 		// hands out the token, and the worker reports again at once.
 		m.up = true
 		m.addr = r.Addr
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -292,7 +292,7 @@
 }
 
 // Time proves nothing about a worker that has not seen this term's token: an
-// older overseer may still renew its lease. Its machine is returned instead.
+// older leader may still renew its lease. Its machine is returned instead.
 func TestUnconfirmedWorker(t *testing.T) {
 	b := newBed(t, config.Team{Name: "a"})
 	b.AddJob(spec("j-1", "a", wire.Normal, 1, 8), b.now, b.now)
@@ -379,7 +379,7 @@
 
 // A takeover goes on suspecting a job that fails everywhere: it is tried with one task
 // after a pause, not with all of them at once.
-func TestSuspicionOutlivesOverseer(t *testing.T) {
+func TestSuspicionOutlivesLeader(t *testing.T) {
 	b := newBed(t, config.Team{Name: "a"})
 	hosts := []string{"n-1", "n-2", "n-3"}
 	for _, h := range hosts {
--- a/internal/sched/served.go
+++ b/internal/sched/served.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// remember takes what an earlier overseer counted.
+// remember takes what an earlier leader counted.
 func (s *served) remember(ended float64, at, now Micros) {
 	if ended > 0 {
 		old := served{ended: ended, at: at}
--- a/internal/sched/silence.go
+++ b/internal/sched/silence.go
@@ -10,7 +10,7 @@
 )
 
 // Told takes when another controller last heard a machine. It comes with the
-// hellos at a takeover: the last overseer's knowledge is gone, its peers' is not.
+// hellos at a takeover: the last leader's knowledge is gone, its peers' is not.
 // It is evidence for the detector alone and proves nothing.
 func (c *Core) Told(host string, at Micros) {
 	at = min(at, c.now)
@@ -79,7 +79,7 @@
 
 // unsent frees launches of a silent machine that were stored but never went with an
 // answer to it. The proof is that launches take no other way, that only this
-// overseer would send these, and that it frees them in the same turn.
+// leader would send these, and that it frees them in the same turn.
 func (c *Core) unsent(m *machine) {
 	m.each(func(p *placement) {
 		if p.stored && !p.sent && !p.seen && !p.loaded {
--- a/internal/sched/silence_test.go
+++ b/internal/sched/silence_test.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// A new overseer learns from its peers since when machines are silent.
+// A new leader learns from its peers since when machines are silent.
 func TestToldAtTakeover(t *testing.T) {
 	b := newBed(t, config.Team{Name: "a"})
 	b.AddJob(spec("j-1", "a", wire.Normal, 4, 8), b.now, b.now)
--- a/internal/sched/tend.go
+++ b/internal/sched/tend.go
@@ -15,7 +15,7 @@
 	for _, m := range c.order {
 		if m.up && !m.confirmed && (!m.lost || m.n > 0 && !c.domains.IsCut(m.zone)) && !m.returning && m.addr != "" && m.session > 0 && pushes < most && c.now-m.pushed > 2*second {
 			// Once its worker has seen this token it reports at once, instead of up to a
-			// report's interval later. And it may still report to an older overseer that
+			// report's interval later. And it may still report to an older leader that
 			// is cut off from us and keeps it: it drops that one's answers then, and finds
 			// its way here. One that reaches no controller at all may still answer a command:
 			// what it says then frees the places of what it lost with its lease.
--- a/internal/sim/answers_test.go
+++ b/internal/sim/answers_test.go
@@ -358,7 +358,7 @@
 // stored, its task never starts, and the user is told.
 func TestNoLaunchAfterTheEnd(t *testing.T) {
 	c := newCluster(t, 1, func(*config.Settings) {})
-	c.until("a leader", func() bool { return c.overseer(0) })
+	c.until("a leader", func() bool { return c.leader(0) })
 	c.until("accepted", func() bool {
 		code, _ := c.ask(0, http.MethodPost, wire.PathJobs, c.submission("j-1", 1), nil)
 		return code/100 == 2
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -45,7 +45,7 @@
 	return true
 }
 
-// controllers is one controller in each zone, as the overseer sees them.
+// controllers is one controller in each zone, as the leader sees them.
 func (w *World) controllers() []domain.Controller {
 	var out []domain.Controller
 	for _, z := range []string{"x", "y"} {
--- a/internal/sim/hammer_test.go
+++ b/internal/sim/hammer_test.go
@@ -15,10 +15,10 @@
 )
 
 // BenchmarkReports is what a report costs in processors, users' side included: workers
-// that report to three nodes, two of which relay to the overseer.
+// that report to three nodes, two of which relay to the leader.
 func BenchmarkReports(b *testing.B) {
 	c := newCluster(b, 3, func(s *config.Settings) { s.Deployment.Resources.Sockets = 2000 })
-	c.until("an overseer", func() bool { return c.overseer(0) || c.overseer(1) || c.overseer(2) })
+	c.until("an overseer", func() bool { return c.leader(0) || c.leader(1) || c.leader(2) })
 	tr := &http.Transport{MaxIdleConnsPerHost: 400}
 	client := &http.Client{Transport: tr}
 	var n atomic.Int64
--- a/internal/sim/history_test.go
+++ b/internal/sim/history_test.go
@@ -78,8 +78,8 @@
 }
 
 // TestHistories runs clients that submit, ask and withdraw at three nodes, while jobs
-// end, their ends are archived at once, overseers take over from copies, answers and requests of the state service are
-// lost or late, it fails for a while and the overseer's node ends. What each job's
+// end, their ends are archived at once, leaders take over from copies, answers and requests of the state service are
+// lost or late, it fails for a while and the leader's node ends. What each job's
 // users were told must be explained by one order of events.
 func TestHistories(t *testing.T) {
 	c := newCluster(t, 3, func(s *config.Settings) {
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -208,7 +208,7 @@
 	}
 }
 
-// begin has a job's task running, and returns the overseer, which its machine reports to.
+// begin has a job's task running, and returns the leader, which its machine reports to.
 func (m *meet) begin() (chief int) {
 	m.t.Helper()
 	m.until("an overseer", func() bool { return m.report(0) == 200 })
@@ -320,8 +320,8 @@
 }
 
 // A transaction with progress gets no answer and is executed after a newer one of the same
-// overseer. It once took back what the newer one had stored, after the worker had been told
-// to clear it, and the next overseer started tasks that were done.
+// leader. It once took back what the newer one had stored, after the worker had been told
+// to clear it, and the next leader started tasks that were done.
 func TestLateProgressTakesNothingBack(t *testing.T) {
 	c := newCluster(t, 1, func(*config.Settings) {})
 	c.until("an overseer", func() bool { return c.report(0) == 200 })
--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -169,8 +169,8 @@
 	c.t.Fatal("never happened: ", what)
 }
 
-// overseer says whether a node shows itself as such.
-func (c *cluster) overseer(i int) bool {
+// leader says whether a node shows itself as such.
+func (c *cluster) leader(i int) bool {
 	return c.shows(i, "dalefront_overseer 1")
 }
 
@@ -186,7 +186,7 @@
 }
 
 // TestNodes runs three nodes, and seven: any of them takes jobs, reports and
-// questions; a job survives its overseer; what is over stays over; an outage of
+// questions; a job survives its leader; what is over stays over; an outage of
 // the state service is answered at once and survived.
 func TestNodes(t *testing.T) {
 	for _, size := range []int{3, 7} {
@@ -213,7 +213,7 @@
 	}
 	c.until("both tasks run", func() bool { c.report(2); return len(c.tasks) == 2 })
 
-	// Each node has reached the overseer, and its next greetings, one a second,
+	// Each node has reached the leader, and its next greetings, one a second,
 	// bring its grant.
 	for i := range c.addrs {
 		c.until("a report is relayed", func() bool { return c.report(i) == 200 })
@@ -232,8 +232,8 @@
 		t.Errorf("in an outage the tasks changed: %v", c.tasks)
 	}
 	before := c.token
-	for i := range c.addrs { // end the overseer: the node that shows itself as such
-		if c.overseer(i) {
+	for i := range c.addrs { // end the leader: the node that shows itself as such
+		if c.leader(i) {
 			c.stop[i]()
 			c.addrs = append(c.addrs[:i], c.addrs[i+1:]...)
 			break
@@ -242,7 +242,7 @@
 	if len(c.addrs) != size-1 {
 		t.Fatal("no node showed itself as overseer")
 	}
-	// The overseer died within the outage: its peers renew under its grant.
+	// The leader died within the outage: its peers renew under its grant.
 	c.until("a lease is renewed without an overseer", func() bool { return c.report(0) == 200 })
 	if c.token != before || len(c.tasks) != 2 {
 		t.Errorf("under the grant the token went from %d to %d, tasks %v", before, c.token, c.tasks)
@@ -295,12 +295,12 @@
 	}
 }
 
-// A job that is cancelled before the overseer's watch has brought it leaves no record:
+// A job that is cancelled before the leader's watch has brought it leaves no record:
 // such records once stayed until the next takeover, and kept their ends out of the
 // archive. The watch rests between two openings, so that most of these come too late.
 func TestCancelledBeforeSeen(t *testing.T) {
 	c := newCluster(t, 1, func(s *config.Settings) { s.Deployment.State.RPS = 60 })
-	c.until("an overseer", func() bool { return c.overseer(0) })
+	c.until("an overseer", func() bool { return c.leader(0) })
 	for i := range 12 {
 		id := fmt.Sprintf("j-%d", i)
 		c.until("accepted", func() bool {
@@ -366,7 +366,7 @@
 	}
 }
 
-// TestDrain ends the overseer's node in order, under load: its health turns bad, the
+// TestDrain ends the leader's node in order, under load: its health turns bad, the
 // term passes on at once, and no request that was begun goes without an answer.
 func TestDrain(t *testing.T) {
 	c := newCluster(t, 3, func(s *config.Settings) { *s.Operator.DrainS = 0.5 })
@@ -376,7 +376,7 @@
 	chief := -1
 	c.until("an overseer", func() bool {
 		for i := range c.addrs {
-			if c.overseer(i) {
+			if c.leader(i) {
 				chief = i
 			}
 		}
@@ -419,7 +419,7 @@
 
 // TestSchedules runs three nodes with a schedule that missed its run an hour ago: it
 // runs once, whoever asks, although answers of the state service are lost and the
-// overseer ends; any node shows, pauses and resumes it.
+// leader ends; any node shows, pauses and resumes it.
 func TestSchedules(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "calendar.hcl")
 	if err := os.WriteFile(file, []byte(`
--- a/internal/sim/restart_test.go
+++ b/internal/sim/restart_test.go
@@ -73,7 +73,7 @@
 	return true
 }
 
-// Processes come back a fraction of a second after they ended: the overseer's, all of
+// Processes come back a fraction of a second after they ended: the leader's, all of
 // them, one after the other, while answers of the state service are lost, transactions
 // come late, and in an outage. No rule is broken, and every job ends.
 func TestQuickRestarts(t *testing.T) {
@@ -138,10 +138,10 @@
 	}
 }
 
-// chief is the node that shows itself as overseer, or -1.
+// chief is the node that shows itself as leader, or -1.
 func (c *cluster) chief() int {
 	for i := range c.addrs {
-		if c.overseer(i) {
+		if c.leader(i) {
 			return i
 		}
 	}
--- a/internal/sim/takeover_bench_test.go
+++ b/internal/sim/takeover_bench_test.go
@@ -107,11 +107,11 @@
 	}
 }
 
-// BenchmarkKilledOverseer is how long it takes from the end of the overseer's process to
+// BenchmarkKilledLeader is how long it takes from the end of the leader's process to
 // the next term and to the next launch, with nobody standing by warm and with one: over
 // as many kills as -benchtime says (20x), the median, the 99th percentile and the worst, in
 // milliseconds.
-func BenchmarkKilledOverseer(b *testing.B) {
+func BenchmarkKilledLeader(b *testing.B) {
 	for _, machines := range []int{300, 1050, 1600} {
 		for _, standbys := range []int{0, 1} {
 			b.Run(fmt.Sprint(machines, "/", standbys, "standbys"), func(b *testing.B) { killed(b, machines, standbys) })
@@ -125,7 +125,7 @@
 		s.Deployment.Resources.Sockets = 6000
 		s.Deployment.Teams[1].CPUsMax = 0
 	})
-	c.until("an overseer", func() bool { return c.overseer(0) || c.overseer(1) || c.overseer(2) })
+	c.until("an overseer", func() bool { return c.leader(0) || c.leader(1) || c.leader(2) })
 	k := newCrew(c, machines)
 	defer func() { k.stop.Store(true); k.all.Wait() }()
 	for i := range 1 + b.N*machines/2000 { // more than all machines get through: one task each at a time
@@ -141,7 +141,7 @@
 		}
 		chief := 0
 		for i := range c.addrs {
-			if c.overseer(i) {
+			if c.leader(i) {
 				chief = i
 			}
 		}
--- a/internal/sim/warm_test.go
+++ b/internal/sim/warm_test.go
@@ -36,7 +36,7 @@
 	return -1
 }
 
-// The overseer's process ends while another node stands by: that one acts within a
+// The leader's process ends while another node stands by: that one acts within a
 // fraction of the two seconds that the hold would still have run, under a higher token,
 // and goes on with what was there.
 func TestWarmStandbyTakesOver(t *testing.T) {
@@ -51,7 +51,7 @@
 	c.until("one stands by", func() bool { c.report(0); stands = c.standby(); return stands >= 0 })
 	chief := 0
 	for i := range c.addrs {
-		if c.overseer(i) {
+		if c.leader(i) {
 			chief = i
 		}
 	}
@@ -59,10 +59,10 @@
 		t.Fatal("the overseer stands by for itself")
 	}
 	before := c.token
-	time.Sleep(1200 * time.Millisecond) // it has said hello as overseer
+	time.Sleep(1200 * time.Millisecond) // it has said hello as leader
 	c.stop[chief]()
 	third := 3 - chief - stands
-	c.until("it acts", func() bool { return c.overseer(stands) })
+	c.until("it acts", func() bool { return c.leader(stands) })
 	c.until("its token arrives", func() bool { return c.report(third) == 200 && c.token > before })
 	for range 4 {
 		c.report(third)
@@ -71,15 +71,15 @@
 		t.Errorf("the tasks did not survive: %v", c.tasks)
 	}
 	c.until("somebody else stands by", func() bool { c.report(third); s := c.standby(); return s >= 0 && s != stands })
-	c.until("the overseer says so", func() bool { return c.overseer(stands) })
-	c.nodes[third].HandOver() // it is not the overseer: nothing happens
+	c.until("the overseer says so", func() bool { return c.leader(stands) })
+	c.nodes[third].HandOver() // it is not the leader: nothing happens
 	c.nodes[stands].HandOver()
-	c.until("the other one acts", func() bool { return c.overseer(third) })
+	c.until("the other one acts", func() bool { return c.leader(third) })
 }
 
 // A standby that is cut off from its peers alone, while the store and workers reach it, sees
-// the overseer's connection break and nobody answer: that is no evidence, and the term stays.
-// Once it hears them again and the overseer ends, it takes over. One that workers can't reach
+// the leader's connection break and nobody answer: that is no evidence, and the term stays.
+// Once it hears them again and the leader ends, it takes over. One that workers can't reach
 // takes over too, and they reach it through the third.
 func TestStandbyCutFromItsPeers(t *testing.T) {
 	m := newMeet(t, 40, 3)
@@ -91,7 +91,7 @@
 		return stands >= 0 && chief >= 0 && stands != chief
 	})
 	third := 3 - chief - stands
-	time.Sleep(1200 * time.Millisecond) // it has heard the overseer say hello as such
+	time.Sleep(1200 * time.Millisecond) // it has heard the leader say hello as such
 	before, _ := m.svc.Entry("term")
 	m.cut[stands].Store(true)
 	for range 12 { // far longer than suspect_s
@@ -109,13 +109,13 @@
 	time.Sleep(1500 * time.Millisecond)
 	m.stop[chief]()
 	token := m.token
-	m.until("it acts", func() bool { return m.overseer(stands) || m.overseer(third) })
+	m.until("it acts", func() bool { return m.leader(stands) || m.leader(third) })
 	m.until("its token reaches a worker that hears only the third", func() bool { return m.report(third) == 200 && m.token > token })
 }
 
-// The overseer is changed by a request to whichever controllers are named; where there is
+// The leader is changed by a request to whichever controllers are named; where there is
 // nobody to change with, nothing happens.
-func TestChangeOverseer(t *testing.T) {
+func TestChangeLeader(t *testing.T) {
 	c := newCluster(t, 3, func(*config.Settings) {})
 	c.until("an overseer", func() bool { return c.report(0) == 200 })
 	var mesh []string
@@ -126,14 +126,14 @@
 	c.until("it shows", func() bool { chief = c.chief(); return chief >= 0 })
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	if _, err := peer.ChangeOverseer(ctx, []string{mesh[chief]}); !errors.Is(err, peer.ErrAlone) {
+	if _, err := peer.ChangeLeader(ctx, []string{mesh[chief]}); !errors.Is(err, peer.ErrAlone) {
 		t.Errorf("with nobody else: %v", err)
 	}
-	if _, err := peer.ChangeOverseer(ctx, []string{mesh[(chief+1)%3], mesh[(chief+2)%3]}); !errors.Is(err, peer.ErrNoOverseer) {
+	if _, err := peer.ChangeLeader(ctx, []string{mesh[(chief+1)%3], mesh[(chief+2)%3]}); !errors.Is(err, peer.ErrNoLeader) {
 		t.Errorf("without the overseer: %v", err)
 	}
 	before := c.token
-	did, err := peer.ChangeOverseer(ctx, mesh)
+	did, err := peer.ChangeLeader(ctx, mesh)
 	if err != nil || did.From != c.sets[chief].Label || did.To == did.From || did.Token <= before {
 		t.Fatalf("%+v: %v", did, err)
 	}
@@ -148,7 +148,7 @@
 	}
 }
 
-// Overseer and standby end together, the standby ends while it follows, the new overseer ends
+// Leader and standby end together, the standby ends while it follows, the new leader ends
 // within a takeover, in an outage, in a roll, again and again, with processes that come
 // back after a fraction of a second or much later, and answers of the state service that
 // are lost or late. No rule is broken and every job ends.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -27,7 +27,7 @@
 	gaveUp  int64  // when the report in flight is given up
 	nonce   int    // of the report in flight
 	heard   int64  // when a report of it last reached a controller outside
-	echo    int64  // until when a peer renews its lease instead of the overseer
+	echo    int64  // until when a peer renews its lease instead of the leader
 	deaf    int64  // until when no answer and no command reaches it
 	mute    int64  // until when it reaches no controller, while commands reach it
 }
@@ -48,7 +48,7 @@
 	report wire.Report
 }
 
-// news is an end that the watch has yet to bring to the overseer.
+// news is an end that the watch has yet to bring to the leader.
 type news struct {
 	id string
 	at int64
@@ -105,7 +105,7 @@
 
 	forgotten map[string]bool
 	zones     map[string]*cut
-	alone     bool                   // the overseer is the only controller
+	alone     bool                   // the leader is the only controller
 	faulty    map[*site.Machine]bool // every task fails on them
 	Log       func(...any)           // gets what the core logs, if set
 	Sound     bool                   // new machines don't fail every task
@@ -151,7 +151,7 @@
 	return w
 }
 
-// Takeover lets another overseer begin from the store alone; whatever the last
+// Takeover lets another leader begin from the store alone; whatever the last
 // one knew or had in flight is lost, but messages in the network stay.
 func (w *World) Takeover() {
 	w.revision++
@@ -274,7 +274,7 @@
 func (w *World) Step() {
 	w.pass()
 	w.deliver()
-	w.overseerStep()
+	w.leaderStep()
 	w.Check()
 }
 
@@ -356,7 +356,7 @@
 	w.net = append(w.net, m)
 }
 
-// deliver hands due reports to the overseer and its answers to the workers.
+// deliver hands due reports to the leader and its answers to the workers.
 func (w *World) deliver() {
 	sort.SliceStable(w.net, func(a, b int) bool { return w.net[a].at < w.net[b].at })
 	for len(w.net) > 0 && w.net[0].at <= w.Now {
@@ -380,8 +380,8 @@
 	}
 }
 
-// overseerStep carries out the core's effects, with delays and refusals.
-func (w *World) overseerStep() {
+// leaderStep carries out the core's effects, with delays and refusals.
+func (w *World) leaderStep() {
 	c := w.Core
 	w.cloud()
 	for len(w.watch) > 0 && w.watch[0].at <= w.Now {
@@ -507,7 +507,7 @@
 	}
 }
 
-// Standstill lets the overseer stand still while everything else goes on. If its
+// Standstill lets the leader stand still while everything else goes on. If its
 // term ran out another takes over, and when the old one wakes it does, without
 // having noticed anything, what it was about to do: its commands and its returns go
 // out, its writes are refused. Otherwise it is the only controller, so that nobody else
@@ -525,7 +525,7 @@
 		}
 		if taken {
 			w.deliver()
-			w.overseerStep()
+			w.leaderStep()
 		}
 	}
 	if !taken {
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -77,7 +77,7 @@
 	return j
 }
 
-// TestRules runs random worlds with crashes of the overseer, lost, late and
+// TestRules runs random worlds with crashes of the leader, lost, late and
 // reordered reports, dying machines, refused and unknown transactions, and
 // checks the protocol's rules after every step.
 func TestRules(t *testing.T) {
--- a/internal/site/front.go
+++ b/internal/site/front.go
@@ -55,7 +55,7 @@
 var MachineFaults = []string{"die", "hang", "slow", "recall", "wave"}
 
 // Fault does something bad to a running site: "kill" or "freeze" a controller (the
-// overseer, unless one is named), an "outage" of the state service, a "cut" of a zone
+// leader, unless one is named), an "outage" of the state service, a "cut" of a zone
 // from all others, the state service, the cloud and the users, a machine that is to
 // "die", "hang", be "slow" or be taken back ("recall", for spot machines), or a "wave":
 // all spot machines, or those of the zone that is named, are taken back at once. A
@@ -71,7 +71,7 @@
 		time.AfterFunc(d, func() { s.Services.SetDown(false) })
 		return "the state service", nil
 	case "kill", "freeze":
-		i := s.Overseer()
+		i := s.Leader()
 		for k, c := range s.controllers {
 			if c.label == name {
 				i = k
--- a/internal/site/machine.go
+++ b/internal/site/machine.go
@@ -306,7 +306,7 @@
 	}
 }
 
-// commanded carries out direct commands, unless they are an older overseer's or for
+// commanded carries out direct commands, unless they are an older leader's or for
 // another session.
 func (m *Machine) commanded(d *wire.DirectOrders) bool {
 	if d.Token < m.token || d.Session != m.session {
--- a/internal/site/services.go
+++ b/internal/site/services.go
@@ -182,7 +182,7 @@
 	return false
 }
 
-// Delete removes a key, as some overseer would have.
+// Delete removes a key, as some leader would have.
 func (s *Services) Delete(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -362,8 +362,8 @@
 	return c.err
 }
 
-// Overseer returns the controller that shows itself as such, or -1.
-func (s *Site) Overseer() int {
+// Leader returns the controller that shows itself as such, or -1.
+func (s *Site) Leader() int {
 	client := &http.Client{Timeout: time.Second, Transport: s.transport}
 	for i, c := range s.controllers {
 		resp, err := client.Get("http://" + c.addr + "/metrics")
--- a/internal/standby/model_test.go
+++ b/internal/standby/model_test.go
@@ -77,7 +77,7 @@
 	unsure      bool // (harmless) launches go to machines that have not confirmed the term
 	anyToken    bool // a report frees though its worker has not seen the term's token
 	unfenced    bool // a transaction is applied whatever the term
-	keepsActing bool // (harmless) a deposed overseer never notices
+	keepsActing bool // (harmless) a deposed leader never notices
 	tellsAtOnce bool // a user is told once the end exists
 	deletesSoon bool // a record is deleted while the task may be on a machine
 	deletesLate bool // a record is deleted whatever the term
@@ -290,7 +290,7 @@
 	}
 }
 
-// take lets an overseer take a report, and returns its answer.
+// take lets a leader take a report, and returns its answer.
 func (s *modelState) take(i, m int, rep modelReport, b modelBounds, r modelRules) (modelAnswer, bool) {
 	n := &s.nodes[i]
 	bit := uint8(1 << m)
@@ -458,7 +458,7 @@
 			}
 		}
 	}
-	// A deposed overseer that never notices changes nothing: the tokens fence it. Nor do
+	// A deposed leader that never notices changes nothing: the tokens fence it. Nor do
 	// launches that go with the first answer, before the machine has confirmed the term:
 	// the ledger has whatever may be there. That rule is kept for another reason: a
 	// machine's session and room are not known before.
--- a/internal/standby/standby_test.go
+++ b/internal/standby/standby_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-// The first standby is in another zone than the overseer, the next in none that has one.
+// The first standby is in another zone than the leader, the next in none that has one.
 // A controller that comes and goes, restarts or can't follow is replaced once and not
 // taken back before it had a rest; while nothing is wrong nothing changes.
 func TestChoosing(t *testing.T) {
@@ -75,7 +75,7 @@
 	}
 }
 
-// An overseer is taken for ended only if its connection broke, it answers nothing for a
+// A leader is taken for ended only if its connection broke, it answers nothing for a
 // while, and the others, of whom enough can be asked, don't reach it either; or at once if
 // another process answers for its node.
 func TestSuspicion(t *testing.T) {
@@ -100,10 +100,10 @@
 		{"one of three others", 5, 20 * second, []step{broke, tried, tried, asked("c", false)}, false},
 		{"the same one twice", 5, 20 * second, []step{broke, tried, tried, asked("c", false), asked("c", false)}, false},
 		{"two of three others", 5, 20 * second, []step{broke, tried, tried, asked("c", false), asked("d", false)}, true},
-		{"it answered again", 3, 20 * second, []step{broke, tried, tried, asked("c", false), func(s *Suspicion) { s.Overseer(7, 1) }}, false},
+		{"it answered again", 3, 20 * second, []step{broke, tried, tried, asked("c", false), func(s *Suspicion) { s.Leader(7, 1) }}, false},
 	} {
 		s := &Suspicion{Nodes: c.nodes, Wait: 250_000, Every: 10 * second}
-		s.Overseer(7, 1)
+		s.Leader(7, 1)
 		for _, f := range c.steps {
 			f(s)
 		}
@@ -112,7 +112,7 @@
 		}
 	}
 	s := &Suspicion{Nodes: 3, Wait: 250_000, Every: 10 * second}
-	s.Overseer(7, 1)
+	s.Leader(7, 1)
 	if s.Tried(second, 1) || !s.Tried(second, 2) {
 		t.Error("another process of its node is not told from the one that took the term")
 	}
--- a/internal/standby/view.go
+++ b/internal/standby/view.go
@@ -5,11 +5,11 @@
 	"slices"
 )
 
-// View says, for one term, who stands by warm and in which order. The overseer publishes
+// View says, for one term, who stands by warm and in which order. The leader publishes
 // it in its hellos. It decides nothing that must be right: a controller with an old view
 // stands by without need, or tries for the term a moment sooner or later than it should.
 type View struct {
-	Token    uint64   `msgpack:"t"` // of the overseer that published it
+	Token    uint64   `msgpack:"t"` // of the leader that published it
 	Number   uint64   `msgpack:"n"` // rises within a term
 	Standbys []string `msgpack:"s"` // the first of them goes first
 }
@@ -22,7 +22,7 @@
 // Rank is a controller's place among the standbys, -1 if it is none.
 func (v *View) Rank(label string) int { return slices.Index(v.Standbys, label) }
 
-// Member is what the overseer knows of another controller.
+// Member is what the leader knows of another controller.
 type Member struct {
 	Label, Zone string
 	Heard       Micros // when it last answered, 0 if it never did
@@ -32,7 +32,7 @@
 
 // Choosing is how standbys are chosen.
 type Choosing struct {
-	Zone  string // the overseer's
+	Zone  string // the leader's
 	Count int    // how many are to stand by
 	// Silent is after how long without an answer a controller is replaced, if another
 	// answers: several times what a hello takes. A suspicion is no death, and choosing
@@ -47,7 +47,7 @@
 
 // Choose returns the view that follows one, and whether it differs. Those who stand by
 // stay, as long as they answer and are fit, so that a controller that comes and goes
-// changes nothing; new ones are preferred in zones that have neither the overseer nor
+// changes nothing; new ones are preferred in zones that have neither the leader nor
 // another standby.
 func (c *Choosing) Choose(old View, members []Member, now Micros) (View, bool) {
 	bad := func(m *Member) int {
