--- a/internal/sim/answers_test.go
+++ b/internal/sim/answers_test.go
@@ -281,6 +281,7 @@
 // cancelled in the seconds in which the work changes hands. Whoever is told, the job's task is
 // gone; the others run on and are not started again.
 func TestTenLeaders(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, func(*config.Settings) {})
 	u := newUsers(c)
 	rng := rand.New(rand.NewPCG(34, 1))
@@ -449,6 +450,7 @@
 // its submission to the last deletion, is within what a site with 25 changes a second takes at
 // four jobs a second.
 func TestOneTaskJobs(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, func(s *config.Settings) { s.Deployment.State.RPS, s.Deployment.State.WriteRPS = 70, 25 })
 	u := newUsers(c)
 	c.until("a leader", func() bool { return c.report(0) == 200 })
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -301,6 +301,7 @@
 // tasks in the meantime and begun another session. The task is started once more, and a
 // cancellation of it is told when it is gone.
 func TestAllAway(t *testing.T) {
+	t.Parallel()
 	m := newMeet(t, 40, 3)
 	m.begin()
 	for i := range m.stop {
