--- a/internal/sched/proof_test.go
+++ b/internal/sched/proof_test.go
@@ -187,3 +187,24 @@
 		t.Errorf("returned %v once nobody waits", back)
 	}
 }
+
+// A place that was only tried leaves a machine as idle as it was; a task that was there does not.
+func TestTriedPlacesLeaveMachinesIdle(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.report("n-1", "g", "x", 1)
+	b.AddJob(spec("j-1", "a", wire.Low, 1, 2), b.now, b.now)
+	m, since := b.machines["n-1"], b.now
+	for _, stored := range []bool{false, true} {
+		b.now += 10 * second
+		p := b.place(b.jobs["j-1"], 0, m, 9)
+		p.stored = stored
+		b.free(p)
+		want := since
+		if stored {
+			want = b.now
+		}
+		if m.idleSince != want || m.gpusIdle != want {
+			t.Errorf("stored %v: idle since %d and %d, want %d", stored, m.idleSince, m.gpusIdle, want)
+		}
+	}
+}
