--- a/internal/sched/proof_test.go
+++ b/internal/sched/proof_test.go
@@ -208,3 +208,60 @@
 		}
 	}
 }
+
+// A machine that hangs with nothing but tasks of a job that is over takes room, and counts against a
+// team's limit: it is given back once a boot would be quicker than to wait.
+func TestHungMachineWithFinishedWork(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.AddJob(spec("j-1", "a", wire.Low, 1, 8), b.now, b.now)
+	b.report("n-1", "s", "x", 1)
+	b.schedule()
+	b.report("n-1", "s", "x", 1, b.running("n-1")...)
+	b.Ended("j-1", wire.JobDone, b.now)
+	for range 150 {
+		b.now += second
+		for _, h := range []string{"n-2", "n-3", "n-4"} {
+			b.report(h, "s", "x", 1)
+		}
+		b.Machines([]wire.Machine{{ID: "n-1", Type: "s", Zone: "x", State: wire.HostRunning}}, b.now)
+		b.schedule()
+		b.Survey(b.now, nil)
+		if slices.Contains(b.Returns(b.now, false), "n-1") {
+			return
+		}
+	}
+	t.Error("never given back")
+}
+
+// A machine that is silent beyond its lease, with tasks, is asked by commands: it may only reach no
+// controller, and its answer frees what it lost with the lease without its being given back.
+func TestLostMachineIsAsked(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.AddJob(spec("j-1", "a", wire.Low, 1, 8), b.now, b.now)
+	b.report("n-1", "s", "x", 1)
+	b.schedule()
+	b.report("n-1", "s", "x", 1, b.running("n-1")...)
+	b.Directs()
+	asked := false
+	for range 20 {
+		b.now += second
+		for _, h := range []string{"n-2", "n-3", "n-4"} {
+			b.report(h, "s", "x", 1)
+		}
+		b.schedule()
+		for _, d := range b.Directs() {
+			asked = asked || d.Addr == "n-1" && b.machines["n-1"].lost
+		}
+	}
+	if !asked {
+		t.Fatal("not asked")
+	}
+	b.Answered(&wire.Report{Host: "n-1", Addr: "n-1", Type: "s", Zone: "x", Session: 2, Seq: 1, Token: 7}, b.now)
+	if b.machines["n-1"].n != 0 {
+		t.Error("its answer of a later session freed nothing")
+	}
+	b.schedule()
+	if n := len(b.jobs["j-1"].placements); n != 1 {
+		t.Errorf("%d places elsewhere", n)
+	}
+}
