A launch that never ran ends no neglect

The seeded world's cloud has its machines by type and zone, as the protocol's has: one capacity for all types kept a gang from machines that graphics ones stood for.

--- a/internal/sched/fleet_test.go
+++ b/internal/sched/fleet_test.go
@@ -110,7 +110,7 @@
 	small.spec.DeadlineS, small.due = &d, b.now+500*second
 	end := func(id string) {
 		p := b.place(b.jobs[id], 0, m, 9)
-		p.stored = true
+		p.stored, p.running = true, b.now
 		b.now += 100 * second
 		b.free(p)
 	}
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -94,7 +94,7 @@
 	errorHosts map[string]bool // machines on which it failed since it last did well
 	failAfter  Micros          // the longest that a task ran before it failed
 	waitSince  Micros          // since when something waits, 0 if nothing does
-	leftAt     Micros          // when the last task that was on a machine left it
+	leftAt     Micros          // when the last task that ran left its machine
 	evictions  int
 	imminent   Micros // a gang: since when clearing lower priorities would let it start, 0 if it would not
 	within     bool   // it fits its team's guarantee with the team's earlier jobs
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -118,7 +118,7 @@
 			j.broken = true // a running gang that lost a task falls back to its checkpoint
 		}
 	}
-	if len(j.placements) == 0 && p.stored {
+	if len(j.placements) == 0 && p.running > 0 {
 		j.leftAt = c.now
 	}
 	if j.gang() && len(j.placements) == 0 {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -115,7 +115,7 @@
 	Settled   bool                   // all troubles are over
 	Lose      func() bool            // whether the answer to a transaction that is carried out is late
 	Calm      bool                   // nothing is lost, delayed or failed but what a test lets fail
-	Most      int                    // machines that the cloud has, half of them in each zone
+	Most      int                    // machines of a type that the cloud has, half of them in each zone
 	Returned  int                    // machines given back while tasks ran on them
 	Lost      int                    // tasks that ran when their worker forgot them or their machine was given back
 	Runs      int                    // tasks started
@@ -463,7 +463,7 @@
 	if w.Rng.IntN(20) == 0 {
 		for _, h := range c.Hires(w.Now) {
 			var hosts []string
-			for i := 0; i < h.Count && w.in(h.Zone) < w.Most/2; i++ {
+			for i := 0; i < h.Count && w.has(h.Type, h.Zone) < w.Most/2; i++ {
 				k := w.Boot(h.Type, h.Zone, h.Spot)
 				hosts = append(hosts, k.View().Host)
 				if w.Rng.IntN(8) == 0 {
@@ -477,10 +477,10 @@
 	}
 }
 
-// in counts the machines of a zone.
-func (w *World) in(zone string) (n int) {
+// has counts the machines of a type in a zone.
+func (w *World) has(typ, zone string) (n int) {
 	for _, k := range w.workers {
-		if k.View().Zone == zone {
+		if v := k.View(); v.Type == typ && v.Zone == zone {
 			n++
 		}
 	}
