--- a/internal/site/waiting.go
+++ b/internal/site/waiting.go
@@ -20,6 +20,11 @@
 	if f.now-f.waitsAt < config.Second {
 		return
 	}
+	if f.now-f.waitsAt > 5*config.Second { // there was trouble in between
+		for _, j := range f.jobs {
+			j.beside = nil
+		}
+	}
 	f.waitsAt = f.now
 	if active == nil {
 		for id, j := range f.jobs {
