--- a/internal/node/lookup.go
+++ b/internal/node/lookup.go
@@ -182,7 +182,7 @@
 // endOf reads the end of a job that is known to have one.
 func (n *Node) endOf(ctx context.Context, id string) (endRecord, error) {
 	if st, ok := n.final(id); ok {
-		return endRecord{Status: st.Status, Done: st.Done}, nil
+		return endAs(st), nil
 	}
 	e, found, err := n.state.Get(ctx, endKey(id))
 	if err != nil {
@@ -198,6 +198,5 @@
 	if err != nil {
 		return endRecord{}, err
 	}
-	st := n.archived(a.Record)
-	return endRecord{Status: st.Status, Done: st.Done}, nil
+	return endAs(n.archived(a.Record)), nil
 }
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -59,6 +59,9 @@
 	return wire.JobStatus{ID: id, Status: e.Status, Done: e.Done}
 }
 
+// endAs is an end as it is known from a final answer.
+func endAs(st wire.JobStatus) endRecord { return endRecord{Status: st.Status, Done: st.Done} }
+
 // remember keeps a final answer that any user may be given without asking anybody.
 func (n *Node) remember(st wire.JobStatus) {
 	n.mu.Lock()
@@ -207,7 +210,7 @@
 	})
 	switch {
 	case err == nil && wire.Final(st.Status):
-		return endRecord{Status: st.Status, Done: st.Done}, nil
+		return endAs(st), nil
 	case err == nil:
 		if status == wire.JobDone {
 			n.remember(end.answer(id))
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -19,11 +19,10 @@
 			return true // an old attempt is still leaving
 		}
 	}
-	missing := float64(j.pending())
-	if !j.team.allows(missing*j.spec.CPUs, missing*j.spec.GPUs) {
+	if j.limited() {
 		return true
 	}
-	for _, z := range c.gangZones(j, int(missing)) {
+	for _, z := range c.gangZones(j, j.pending()) {
 		if c.placeGangIn(j, z, b) {
 			return true
 		}
@@ -96,7 +95,7 @@
 	for _, m := range c.roomy {
 		n := c.slotsOn(j, m, used)
 		if j.spec.Spread {
-			n = max(0, min(n, (j.spec.Tasks+1)/2-used[m.zone]-share[m.zone]))
+			n = max(0, min(n, j.share()-used[m.zone]-share[m.zone]))
 			share[m.zone] += n
 		}
 		if n == 0 {
@@ -138,7 +137,7 @@
 	}
 	n := min(slots(j, m.kind, m.cpus, m.gpus, m.mem), maxOnMachine-m.n)
 	if j.spec.Spread {
-		n = min(n, (j.spec.Tasks+1)/2-used[m.zone])
+		n = min(n, j.share()-used[m.zone])
 	}
 	return n
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -54,6 +54,9 @@
 	return z
 }
 
+// share is how many tasks of a job that is to be spread may be in one zone.
+func (j *job) share() int { return (j.spec.Tasks + 1) / 2 }
+
 // zoneOK applies SamePlace and Spread, counting every task that may be placed.
 func zoneOK(j *job, zones map[string]int, zone string) bool {
 	if j.spec.OneZone {
@@ -63,7 +66,7 @@
 			}
 		}
 	}
-	return !j.spec.Spread || zones[zone] < (j.spec.Tasks+1)/2
+	return !j.spec.Spread || zones[zone] < j.share()
 }
 
 // fetch is the expected time until the machine has the job's image.
@@ -200,10 +203,11 @@
 	if r.rank == j.rank && r.within == j.within && j.behind() && !r.behind() {
 		return false
 	}
-	if (m.reservedFor > c.now+worthWaiting || c.neglected(j)) && r.rank > j.rank {
+	neglected := c.neglected(j)
+	if (m.reservedFor > c.now+worthWaiting || neglected) && r.rank > j.rank {
 		return false // it is evicted when the gang's other machines are there
 	}
-	if c.neglected(j) && m.n == 0 && c.now-m.idleSince > mostNeglect {
+	if neglected && m.n == 0 && c.now-m.idleSince > mostNeglect {
 		return false // kept in vain for so long: that gang may wait for what can't be had
 	}
 	return m.reservedFor == 0 || j.spec.EstimateS == 0 || c.now+j.estimate()*3/2+Micros(c.fetch(j, m)*float64(second)) > m.reservedFor
@@ -480,7 +484,7 @@
 		if _, ok := j.next(); !ok || len(j.placements) >= tries {
 			return
 		}
-		if !j.team.allows(j.spec.CPUs, j.spec.GPUs) {
+		if j.limited() {
 			return // the limit holds, counting tasks that can't be seen
 		}
 		if !weighed {
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -129,7 +129,7 @@
 			}
 			k := min(left, slots(j, b.kind, b.cpus, b.gpus, b.me))
 			if j.spec.Spread {
-				k = min(k, (j.spec.Tasks+1)/2-used[b.zone])
+				k = min(k, j.share()-used[b.zone])
 			}
 			left -= k
 			used[b.zone] += k
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -229,9 +229,8 @@
 	present := map[*placement]bool{}
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
-		id, num, ok := wire.ParseTask(t.Task)
-		j := c.jobs[id]
-		if !ok || j == nil || int(num) >= j.spec.Tasks {
+		j, num, ok := c.named(t.Task)
+		if !ok {
 			continue
 		}
 		p := m.find(taskKey{j, num}, t.Attempt)
@@ -267,9 +266,8 @@
 	clear(m.fetchingImages)
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
-		id, num, ok := wire.ParseTask(t.Task)
-		j := c.jobs[id]
-		if !ok || j == nil || int(num) >= j.spec.Tasks {
+		j, num, ok := c.named(t.Task)
+		if !ok {
 			a.Orders = append(a.Orders, removal(t))
 			continue
 		}
@@ -328,6 +326,13 @@
 	c.nextCheckpoint(m)
 }
 
+// named finds a task by its name, if its job is known.
+func (c *Core) named(task string) (j *job, num int32, ok bool) {
+	id, num, ok := wire.ParseTask(task)
+	j = c.jobs[id]
+	return j, num, ok && j != nil && int(num) < j.spec.Tasks
+}
+
 // stray says whether a task found outside the books must go: its job is over,
 // the task is done, or another copy may exist.
 func (c *Core) stray(p *placement) bool {
--- a/internal/sim/answers_test.go
+++ b/internal/sim/answers_test.go
@@ -100,7 +100,18 @@
 	return fmt.Errorf("%w: %s %s", errNever, op, id)
 }
 
-func any2xx(string) bool { return true }
+// whatever takes any answer, or any job.
+func whatever(string) bool { return true }
+
+// finishes lets the running tasks of jobs end as done.
+func (c *cluster) finishes(which func(id string) bool) {
+	for k, tr := range c.tasks {
+		if id, _, _ := wire.ParseTask(k); tr.State == wire.TaskRunning && which(id) {
+			tr.State, tr.Cause = wire.TaskExited, wire.CauseDone
+			c.tasks[k] = tr
+		}
+	}
+}
 
 // works runs the worker until the test ends; its tasks end as done once their jobs are
 // among those that are to.
@@ -114,13 +125,7 @@
 				return
 			case <-time.After(10 * time.Millisecond):
 			}
-			for k, tr := range c.tasks {
-				id, _, _ := wire.ParseTask(k)
-				if _, ends := finish.Load(id); ends && tr.State == wire.TaskRunning {
-					tr.State, tr.Cause = wire.TaskExited, wire.CauseDone
-					c.tasks[k] = tr
-				}
-			}
+			c.finishes(func(id string) bool { _, ends := finish.Load(id); return ends })
 			if c.report(node) != 200 {
 				node = (node + 1) % len(c.addrs)
 			}
@@ -157,7 +162,7 @@
 					for k := range 6 {
 						id := fmt.Sprintf("j-%d%03d", client+1, k)
 						ended := func(st string) bool { return wire.Final(st) }
-						err := u.patiently(submits, rng.IntN(3), id, any2xx)
+						err := u.patiently(submits, rng.IntN(3), id, whatever)
 						u.look(id)
 						if k%3 > 0 {
 							err = errors.Join(err, u.patiently(polls, rng.IntN(3), id, func(st string) bool { return st == wire.JobRunning || ended(st) }))
@@ -216,7 +221,7 @@
 				c.until("a leader", func() bool { c.step(); return c.chief() >= 0 })
 				for k := range 2 {
 					id := fmt.Sprintf("j-%d%d", round+1, k)
-					if err := u.patiently(submits, c.rng.IntN(3), id, any2xx); err != nil {
+					if err := u.patiently(submits, c.rng.IntN(3), id, whatever); err != nil {
 						t.Fatal(err)
 					}
 					c.jobs = append(c.jobs, id)
@@ -225,7 +230,7 @@
 					c.step()
 				}
 				id := fmt.Sprintf("j-%d9", round+1)
-				if err := u.patiently(submits, c.rng.IntN(3), id, any2xx); err != nil {
+				if err := u.patiently(submits, c.rng.IntN(3), id, whatever); err != nil {
 					t.Fatal(err)
 				}
 				c.until("cancelled, or done before", func() bool { c.step(); return wire.Final(u.put(withdraws, c.rng.IntN(3), id)) })
@@ -291,7 +296,7 @@
 	id := func(i int) string { return fmt.Sprintf("j-%d", i+1) }
 	// The machine has room for four: four run at a time, the others wait.
 	for i := range jobs {
-		if err := u.patiently(submits, i, id(i), any2xx); err != nil {
+		if err := u.patiently(submits, i, id(i), whatever); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -393,12 +398,7 @@
 	})
 	c.until("its record is gone", func() bool {
 		c.report(0)
-		for k, tr := range c.tasks {
-			if tr.State == wire.TaskRunning {
-				tr.State, tr.Cause = wire.TaskExited, wire.CauseDone
-				c.tasks[k] = tr
-			}
-		}
+		c.finishes(whatever)
 		return c.svc.Keys("q/a/") == 0
 	})
 	c.svc.Arrive()
@@ -462,7 +462,7 @@
 	var all sync.WaitGroup
 	for i := range jobs {
 		id := fmt.Sprintf("j-%d", i+1)
-		if err := u.patiently(submits, i, id, any2xx); err != nil {
+		if err := u.patiently(submits, i, id, whatever); err != nil {
 			t.Fatal(err)
 		}
 		all.Go(func() {
@@ -534,12 +534,7 @@
 	}
 	c.until("done", func() bool {
 		c.report(0)
-		for k, tr := range c.tasks {
-			if tr.State == wire.TaskRunning {
-				tr.State, tr.Cause = wire.TaskExited, wire.CauseDone
-				c.tasks[k] = tr
-			}
-		}
+		c.finishes(whatever)
 		var st wire.JobStatus
 		code, _ := c.ask(1, http.MethodGet, wire.PathJobs+"/j-1", nil, &st)
 		return code == 200 && st.Status == wire.JobDone
