A batch never has more changes, conditions or bytes than a transaction may have

Cause: a batch was planned for a number of entries, and deletions filled the rest of the transaction; entries are never filled to the brim, so a full batch is cut into one more.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,8 @@
 	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclparse"
 	"github.com/pelletier/go-toml/v2"
+
+	"dalefront/wire"
 )
 
 // Micros is a duration or a point of time in whole microseconds.
@@ -101,6 +103,12 @@
 	Operator Operator `toml:"-"`
 }
 
+// TxnLimits are the state service's limits for a transaction.
+func (s *Settings) TxnLimits() wire.TxnLimits {
+	st := &s.Deployment.State
+	return wire.TxnLimits{Changes: st.TxnOps, ValueBytes: int(st.ValueKB * 1024)}
+}
+
 // Operator holds the settings that an operator may tune. docs/operations.md
 // lists them with their defaults and ranges.
 type Operator struct {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -13,12 +13,10 @@
 	"dalefront/wire"
 )
 
-// commit stores a write-ahead batch. While its outcome is unknown it is asked
-// again under the same conditions: its entries are created once, so that only one
-// copy can ever be applied.
-func (r *leadership) commit(cm *sched.Commit) {
-	n := r.n
-	txn := wire.Txn{If: []wire.Cond{r.termCond()}}
+// CommitTxn is the transaction that stores a write-ahead batch: on condition of the
+// leadership, of the entries' names, which are never used again, and of no end of the jobs.
+func CommitTxn(cm *sched.Commit, conditions ...wire.Cond) wire.Txn {
+	txn := wire.Txn{If: conditions}
 	for _, e := range cm.Entries {
 		txn.If = append(txn.If, wire.Cond{Key: ledgerPrefix + e.Name})
 		txn.Then = append(txn.Then, wire.Change{Put: ledgerPrefix + e.Name, Value: e.Entry})
@@ -29,6 +27,15 @@
 	for _, id := range cm.Jobs {
 		txn.If = append(txn.If, wire.Cond{Key: endKey(id)})
 	}
+	return txn
+}
+
+// commit stores a write-ahead batch. While its outcome is unknown it is asked
+// again under the same conditions: its entries are created once, so that only one
+// copy can ever be applied.
+func (r *leadership) commit(cm *sched.Commit) {
+	n := r.n
+	txn := CommitTxn(cm, r.termCond())
 	txn.If = n.guarded(txn.If, cm.Jobs...)
 	unknown := false
 	for r.ctx.Err() == nil {
--- a/internal/sched/ledger_test.go
+++ b/internal/sched/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"dalefront/internal/config"
@@ -37,7 +38,7 @@
 			b.t.Errorf("an entry of %d bytes", len(v))
 		}
 	}
-	if n := len(cm.Drop) + len(cm.Entries); n > st.TxnOps || all > 60<<10 || 2*len(cm.Jobs)+len(cm.Entries)+1 > 4*st.TxnOps {
+	if n := len(cm.Drop) + len(cm.Entries); n > st.TxnOps || all > 60<<10 || 2*len(cm.Jobs)+len(cm.Entries)+fixedConditions > 4*st.TxnOps {
 		b.t.Errorf("%d changes of %d bytes on %d jobs in a transaction", n, all, len(cm.Jobs))
 	}
 }
@@ -339,3 +340,56 @@
 		t.Errorf("%d of 60 started", started)
 	}
 }
+
+// A batch that fills its entries is cut into one more than it was meant for, since no entry is
+// filled to the brim. With all the deletions that had been left room for, the transaction had
+// one change more than the state service takes; it was refused as malformed.
+func TestFullBatchWithDeletions(t *testing.T) {
+	cut := false // into more entries than the batch was meant for
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		b := newBed(t, config.Team{Name: "a"})
+		b.set.Deployment.State.TxnOps, b.set.Deployment.State.ValueKB = 8, float64(2+r.IntN(6))
+		spent := map[string]Entry{}
+		for i := range 20 {
+			spent[fmt.Sprintf("%016x.%08x", 3, i)] = Entry{Hosts: []EntryHost{{Host: "n-gone", Type: "s", Zone: "x", Session: 1}}}
+		}
+		b.Load(spent)
+		for i := range 200 {
+			b.report(fmt.Sprintf("n-%0*d", 3+r.IntN(12), i), "s", "x", 1)
+		}
+		for i := range 12 {
+			b.AddJob(spec(fmt.Sprintf("j-%d", i+1), "a", wire.Normal, 1+r.IntN(200), float64(1+r.IntN(4))), b.now, b.now)
+		}
+		for range 6 {
+			b.now += second
+			cm := b.Schedule(b.now)
+			if cm == nil {
+				continue
+			}
+			b.fits(cm)
+			cut = cut || len(cm.Entries) > 4
+			if r.IntN(3) > 0 {
+				b.Committed(cm, b.now)
+				continue
+			}
+			// A refused batch is undone whole: its launches are decided anew, and what it was
+			// to delete still is to be.
+			b.Refused(cm, b.now)
+			if len(cm.Drop) > 0 && len(b.spent) < len(cm.Drop) {
+				t.Fatalf("seed %d: %d entries are to be deleted, of %d that the refused batch had", seed, len(b.spent), len(cm.Drop))
+			}
+			for _, p := range cm.placements {
+				if _, there := p.job.placements[p]; there {
+					t.Fatalf("seed %d: a refused launch still counts", seed)
+				}
+			}
+		}
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	if !cut {
+		t.Error("no batch was cut into more entries than it was meant for: the test shows nothing")
+	}
+}
--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -57,6 +57,11 @@
 	change := set
 	srv := httptest.NewServer(c.svc)
 	t.Cleanup(srv.Close)
+	t.Cleanup(func() {
+		for _, what := range c.svc.Malformed() {
+			t.Error("a transaction beyond the limits: ", what)
+		}
+	})
 	addr := strings.TrimPrefix(srv.URL, "http://")
 	var mesh []string
 	for i := 0; i < size; i++ {
@@ -69,7 +74,7 @@
 		}
 		set.Label, set.ServeOn, set.MeshAddr = fmt.Sprint("node-", i), c.addrs[i], mesh[i]
 		set.Endpoints.State, set.Endpoints.Cloud = addr, addr
-		c.svc.Ops = set.Deployment.State.TxnOps
+		c.svc.Limits = set.TxnLimits()
 		set.Deployment.State.RPS, set.Deployment.State.WriteRPS = 1000, 1000
 		for k := range mesh {
 			if k != i {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -10,6 +10,7 @@
 	"sort"
 
 	"dalefront/internal/config"
+	"dalefront/internal/node"
 	"dalefront/internal/sched"
 	"dalefront/internal/site"
 	"dalefront/wire"
@@ -226,6 +227,18 @@
 	return true
 }
 
+// checkLimits checks a batch's transaction against the limits of the state service, which
+// would refuse it for good.
+func (w *World) checkLimits(cm *sched.Commit) {
+	txn := node.CommitTxn(cm, wire.Cond{Key: "term", Version: w.token})
+	for i := range cm.Jobs { // at worst a manifest of its own for each job
+		txn.If = append(txn.If, wire.Cond{Key: fmt.Sprintf("a/m/%02x", i), Version: w.revision})
+	}
+	if err := w.Set.TxnLimits().Check(txn); err != nil {
+		w.broken("a transaction beyond the limits: %v", err)
+	}
+}
+
 // Boot adds a machine.
 func (w *World) Boot(typ, zone string, spot bool) *worker {
 	k := &worker{Machine: w.fleet.Boot(typ, zone, spot), nextAt: w.Now + int64(w.Rng.IntN(int(second)))}
@@ -391,6 +404,7 @@
 	}
 	if w.commit == nil && w.Rng.IntN(3) == 0 {
 		if cm := c.Schedule(w.Now); cm != nil {
+			w.checkLimits(cm)
 			w.commit, w.commitAt = cm, w.Now+int64(w.Rng.IntN(int(w.Lag)))
 			w.stored = w.Lose != nil && w.Lose() && w.apply(cm)
 		}
--- a/internal/site/services.go
+++ b/internal/site/services.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -20,7 +21,7 @@
 // answering them. Without a fleet the cloud has no machines.
 type Services struct {
 	Catalog wire.Catalog
-	Ops     int // changes in a transaction, and four times as many conditions; 0: any number
+	Limits  wire.TxnLimits // of transactions; above them the answer is 400
 
 	// Limits of requests and of changes a second, with bursts of a second's worth, and of
 	// the cloud's requests, with bursts of two; nil: none. Above them the answer is 429.
@@ -43,6 +44,7 @@
 	late     func() (time.Duration, bool)
 	lose     func(keys []string) bool
 	asked    int
+	refused  []string // transactions that exceeded the limits, and how
 
 	kept       *keeper
 	dirty      []string // keys that have changed and are not kept yet
@@ -61,6 +63,22 @@
 	} `msgpack:"Writes"`
 }
 
+// message is the transaction as it was sent.
+func (t *txn) message() wire.Txn {
+	m := wire.Txn{If: t.If}
+	for _, c := range t.Then {
+		m.Then = append(m.Then, wire.Change{Put: c.Put, Value: c.Value, Lease: c.Lease, Delete: c.Delete})
+	}
+	return m
+}
+
+// Malformed lists what was wrong with transactions that exceeded the limits.
+func (s *Services) Malformed() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.refused)
+}
+
 // NewServices returns empty services.
 func NewServices(cat wire.Catalog) *Services {
 	return &Services{Catalog: cat, keys: map[string]wire.Entry{}, holds: map[uint64]time.Time{}, ttl: map[uint64]time.Duration{}, changed: make(chan struct{})}
@@ -344,10 +362,15 @@
 
 func (s *Services) multi(w http.ResponseWriter, r *http.Request) {
 	var t txn
-	if !read(r, &t) || s.Ops > 0 && (len(t.Then) > s.Ops || len(t.If) > 4*s.Ops) {
+	if !read(r, &t) {
 		respond(w, 400, wire.Error{Error: "malformed"})
 		return
 	}
+	if err := s.Limits.Check(t.message()); err != nil {
+		s.refused = append(s.refused, err.Error())
+		respond(w, 400, wire.Error{Error: "malformed: " + err.Error()})
+		return
+	}
 	if n := len(t.Then); n > 0 && s.Changes != nil && !s.Changes.AllowN(time.Now(), n) {
 		w.Header().Set("Retry-After", "1")
 		respond(w, http.StatusTooManyRequests, wire.Error{Error: "too many changes"})
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -21,6 +21,8 @@
 	"golang.org/x/time/rate"
 
 	"dalefront/internal/config"
+
+	"dalefront/wire"
 )
 
 // Options say what a site is like. The zero value of a field is its default.
@@ -136,7 +138,7 @@
 	spec := &s.opt.Spec
 	catalog := spec.Catalog()
 	s.Services = NewServices(catalog)
-	s.Services.Ops = spec.State.TxnOps
+	s.Services.Limits = wire.TxnLimits{Changes: spec.State.TxnOps, ValueBytes: int(spec.State.ValueKB * 1024)}
 	inner, err := s.serve("127.0.0.1:0", s.Services)
 	if err != nil {
 		return err
