--- a/cmd/dalefront/main.go
+++ b/cmd/dalefront/main.go
@@ -88,7 +88,7 @@
 		},
 	})
 	root.AddCommand(jobCommands()...)
-	root.AddCommand(handOverCommand(&settings, &operator), calendarCommand(), snapshotCommand(&settings, &operator), restoreCommand(&settings, &operator), siteCommand(&operator), loadCommand())
+	root.AddCommand(handOverCommand(&settings, &operator), configCommand(&settings, &operator), calendarCommand(), snapshotCommand(&settings, &operator), restoreCommand(&settings, &operator), siteCommand(&operator), loadCommand())
 	return root
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"sort"
 	"strconv"
@@ -275,8 +276,23 @@
 	return nil
 }
 
-// Tune sets operator's settings that are numbers, over those that are there.
+// unshare gives the settings values of their own: decoding writes through pointers, which a
+// copy of the settings shares.
+func (o *Operator) unshare() {
+	fields := reflect.ValueOf(o).Elem()
+	for i := range fields.NumField() {
+		if f := fields.Field(i); f.Kind() == reflect.Pointer && !f.IsNil() {
+			own := reflect.New(f.Type().Elem())
+			own.Elem().Set(f.Elem())
+			f.Set(own)
+		}
+	}
+}
+
+// Tune sets operator's settings that are numbers, over those that are there. Settings that
+// these are a copy of stay as they are.
 func (s *Settings) Tune(values map[string]float64) error {
+	s.Operator.unshare()
 	var text bytes.Buffer
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		fmt.Fprintf(&text, "%s = %s\n", name, strconv.FormatFloat(values[name], 'f', -1, 64))
--- /dev/null
+++ b/internal/dynconfig/dynconfig_test.go
@@ -0,0 +1,360 @@
+package dynconfig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"dalefront/internal/config"
+	"dalefront/wire"
+)
+
+func platform(t testing.TB) *config.Settings {
+	t.Helper()
+	set, err := config.Parse([]byte(`
+label = "node-0"
+serve_on = "127.0.0.1:1"
+mesh_addr = "127.0.0.1:2"
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:3"
+[deployment]
+size = 1
+zones = ["x", "y"]
+[[deployment.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 20.0
+gpus = 2.0
+[[deployment.teams]]
+name = "blue"
+cpus = 4.0
+[deployment.workers]
+report_s = 1.5
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 30.0
+[deployment.state]
+rps = 50.0
+write_rps = 20.0
+value_kb = 2.0
+txn_ops = 6
+[deployment.cloud]
+rps = 4.0
+list_lag_s = 5.0
+[deployment.resources]
+cores = 0.2
+ram_mb = 100.0
+sockets = 500
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+// Bad input gets one line with the file, the line and the field, and changes nothing.
+func TestMistakes(t *testing.T) {
+	set := platform(t)
+	for text, want := range map[string]string{
+		"team \"red\" {\n  cpus_max = 21\n}":                        `f.hcl:1:1: team "red": cpus_max: 21 is above the platform's 20, which is the ceiling`,
+		"\nteam \"red\" {\n  cpus = 9\n}":                           `f.hcl:2:1: team "red": cpus: 9 is above the platform's 8, which is the ceiling`,
+		"team \"red\" {\n  cpus = 8\n  cpus_max = 4\n}":             `f.hcl:1:1: team "red": cpus: the guarantee 8 is above the limit 4`,
+		"team \"red\" {\n  cpus_max = 0\n}":                         `f.hcl:1:1: team "red": cpus_max: must be a number above 0`,
+		"team \"green\" {\n}":                                       `f.hcl:1:1: team "green": the platform's settings have no such team`,
+		"team \"red\" {\n  cpu = 1\n}":                              `f.hcl:2:3: Unsupported argument: `,
+		"team \"red\" {\n}\nteam \"red\" {\n}":                      `f.hcl:3:1: team "red": it is there twice`,
+		"cordon \"a\" {\n}":                                         `f.hcl:1:1: cordon "a": zone, type or machine is needed`,
+		"cordon \"a\" {\n  zone = \"z\"\n}":                         `f.hcl:1:1: cordon "a": zone: "z" is not one of x, y`,
+		"cordon \"a\" {\n  zone = \"x\"\n  until = \"tomorrow\"\n}": `f.hcl:1:1: cordon "a": until: "tomorrow" is not a time`,
+		"settings {\n  term_s = 3\n}":                               `f.hcl:1:1: settings "operator": term_s: can't be changed at run time`,
+		"settings {\n  idle_return_s = 0\n}":                        `f.hcl:1:1: settings "operator": idle_return_s: must be from 1 to 86400`,
+		"settings {\n  idle_return_s = \"long\"\n}":                 `f.hcl:2:20: Unsuitable value type: `,
+		"quota \"red\" {\n}":                                        `f.hcl:1:1: Unsupported block type: `,
+	} {
+		_, err := ParseFile([]byte(text), "f.hcl", set)
+		if err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want %s", text, err, want)
+		}
+	}
+}
+
+// Without documents the merged settings are the platform's to the last field.
+func TestNothingStored(t *testing.T) {
+	set := platform(t)
+	merged, cordons, unknown := Merge(set, nil)
+	if !reflect.DeepEqual(merged, set) || cordons != nil || unknown != nil {
+		t.Errorf("%+v %v %v", merged, cordons, unknown)
+	}
+}
+
+// Whatever is stored, a limit never exceeds the platform's, and the platform's settings stay
+// as they are. Documents that this version doesn't know are named and change nothing.
+func TestMergeStaysBelowThePlatform(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	limit := func() *float64 {
+		v := []float64{0, 1, 3, 7, 20, 21, 1000}[r.IntN(7)]
+		if r.IntN(3) == 0 {
+			return nil
+		}
+		return &v
+	}
+	for range 500 {
+		set, untouched := platform(t), platform(t)
+		red, _ := NewDocument(KindTeam, "red", Team{limit(), limit(), limit(), limit()})
+		tuned, _ := NewDocument(KindSettings, SettingsName, Settings{map[string]float64{"idle_return_s": float64(1 + r.IntN(100))}})
+		later, _ := NewDocument("weather", "rain", 1)
+		gone, _ := NewDocument(KindTeam, "green", Team{})
+		merged, _, unknown := Merge(set, []Document{red, tuned, later, gone})
+		if !reflect.DeepEqual(set, untouched) {
+			t.Fatal("merging changed the platform's settings")
+		}
+		for i, m := range merged.Deployment.Teams {
+			p := set.Deployment.Teams[i]
+			if p.CPUsMax > 0 && (m.CPUsMax == 0 || m.CPUsMax > p.CPUsMax) || m.CPUs > p.CPUs || m.GPUs > p.GPUs || m.CPUsMax > 0 && m.CPUs > m.CPUsMax {
+				t.Fatalf("%+v of the platform's %+v", m, p)
+			}
+		}
+		if !slices.Equal(unknown, []string{"weather/rain", "team/green"}) {
+			t.Fatal(unknown)
+		}
+	}
+}
+
+// store is the state service: a transaction takes effect if its condition on the generation
+// holds.
+type store struct {
+	t       testing.TB
+	limits  wire.TxnLimits
+	keys    map[string]wire.Entry
+	version uint64
+}
+
+func newStore(t testing.TB) *store {
+	return &store{t: t, limits: platform(t).TxnLimits(), keys: map[string]wire.Entry{}, version: 10}
+}
+
+// write runs a transaction on condition of the generation key's version.
+func (s *store) write(version uint64, changes []wire.Change) bool {
+	s.t.Helper()
+	if err := s.limits.Check(wire.Txn{If: []wire.Cond{{Key: GenerationKey, Version: version}, {}, {}}, Then: changes}); err != nil {
+		s.t.Fatal("a transaction beyond the limits: ", err)
+	}
+	if s.keys[GenerationKey].Version != version {
+		return false
+	}
+	s.version++
+	for _, c := range changes {
+		if c.Delete != "" {
+			delete(s.keys, c.Delete)
+			continue
+		}
+		value, err := wire.Marshal(c.Value)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.keys[c.Put] = wire.Entry{Key: c.Put, Value: value, Version: s.version}
+	}
+	return true
+}
+
+func (s *store) entries(prefix string) (out []wire.Entry) {
+	for k, e := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b wire.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+func (s *store) state() *State {
+	st, err := NewState(s.entries(Prefix))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return st
+}
+
+// teams makes documents of so many teams, with a limit that tells one change from another.
+func teams(n int, limit float64) (out []Change) {
+	for i := range n {
+		d, _ := NewDocument(KindTeam, fmt.Sprint("team ", i), Team{CPUsMax: &limit})
+		out = append(out, Change{Document: d})
+	}
+	return out
+}
+
+// apply carries a request out, up to a number of transactions, and says whether it is in force.
+func (s *store) apply(q *Request, most int) bool {
+	s.t.Helper()
+	if st := s.state(); st.Generation.Staging != "" && st.Generation.Staging != q.ID {
+		if most == 0 || !s.write(st.GenerationVersion, st.Claim(q.ID)) {
+			return false
+		}
+		most--
+	}
+	st := s.state()
+	p, err := st.Plan(q, HistoryKeys(s.entries(HistoryPrefix)), s.limits)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	steps := append(append([][]wire.Change{p.Stage}, p.Batches...), p.Switch)
+	for _, changes := range steps {
+		if changes == nil {
+			continue
+		}
+		if most == 0 {
+			return false
+		}
+		most--
+		if !s.write(s.keys[GenerationKey].Version, changes) {
+			s.t.Fatal("a condition failed though nobody else writes")
+		}
+	}
+	for _, k := range p.Tidy {
+		delete(s.keys, k)
+	}
+	return true
+}
+
+func (s *store) limitsInForce() map[float64]int {
+	out := map[float64]int{}
+	for _, d := range s.state().Documents() {
+		var t Team
+		if err := wire.Unmarshal(d.Body, &t); err != nil {
+			s.t.Fatal(err)
+		}
+		out[*t.CPUsMax]++
+	}
+	return out
+}
+
+// A change too large for one transaction is in force whole or not at all, wherever the apply
+// ends, and another one that follows never brings parts of it into force.
+func TestLargeChangesAreWhole(t *testing.T) {
+	for steps := range 40 {
+		s := newStore(t)
+		s.apply(&Request{ID: "first", Changes: teams(30, 1)}, 1000)
+		if got := s.limitsInForce(); got[1] != 30 {
+			t.Fatalf("%v of 30 documents", got)
+		}
+		whole := s.apply(&Request{ID: "second", Changes: teams(30, 2)}, steps)
+		if got := s.limitsInForce(); len(got) != 1 || whole && got[2] != 30 || !whole && got[1] != 30 {
+			t.Fatalf("after %d transactions: %v", steps, got)
+		}
+		generation := s.state().Generation.Number
+		if !s.apply(&Request{ID: "third", Changes: teams(1, 3)}, 1000) {
+			t.Fatal("the third was not applied")
+		}
+		want := map[float64]int{1: 29, 3: 1}
+		if whole {
+			want = map[float64]int{2: 29, 3: 1}
+		}
+		if got := s.limitsInForce(); !reflect.DeepEqual(got, want) {
+			t.Fatalf("after %d transactions and another apply: %v, want %v", steps, got, want)
+		}
+		history, err := ReadHistory(s.entries(HistoryPrefix), s.state().Generation.Number)
+		if err != nil || history[0].Apply != "third" || len(history[0].Changes) != 1 || history[0].Generation != generation+1 {
+			t.Fatalf("after %d transactions: history %+v, %v", steps, history, err)
+		}
+	}
+}
+
+// Rolling back brings back what was in force, removals and large changes included, as a new
+// generation.
+func TestRollBack(t *testing.T) {
+	s := newStore(t)
+	s.apply(&Request{ID: "a", Changes: teams(12, 1)}, 1000)
+	s.apply(&Request{ID: "b", Changes: append(teams(2, 2), Change{Document: Document{Kind: KindTeam, Name: "team 5"}, Remove: true})}, 1000)
+	s.apply(&Request{ID: "c", Changes: teams(12, 3)}, 1000)
+	if got := s.limitsInForce(); got[3] != 12 {
+		t.Fatal(got)
+	}
+	for to, want := range map[uint64]map[float64]int{2: {2: 2, 1: 9}, 1: {1: 12}, 0: {}} {
+		history, err := ReadHistory(s.entries(HistoryPrefix), s.state().Generation.Number)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := RollBack(history, to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !s.apply(&Request{ID: fmt.Sprint("back to ", to), Changes: back}, 1000) {
+			t.Fatal("not applied")
+		}
+		if got := s.limitsInForce(); !reflect.DeepEqual(got, want) {
+			t.Errorf("back at %d: %v, want %v", to, got, want)
+		}
+		forth, err := RollBack(history, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.apply(&Request{ID: fmt.Sprint("forth from ", to), Changes: append(forth, teams(12, 3)...)[len(forth):]}, 1000)
+	}
+	if _, err := RollBack(nil, 0); err == nil {
+		t.Error("rolled back without history")
+	}
+}
+
+// History is bounded, and so is what one apply deletes of it.
+func TestHistoryIsBounded(t *testing.T) {
+	s := newStore(t)
+	for i := range KeptHistory + 60 {
+		s.apply(&Request{ID: fmt.Sprint(i), Changes: teams(1, float64(i+1))}, 1000)
+	}
+	if n := len(s.entries(HistoryPrefix)); n != KeptHistory {
+		t.Errorf("%d generations are kept, want %d", n, KeptHistory)
+	}
+	history, _ := ReadHistory(s.entries(HistoryPrefix), s.state().Generation.Number)
+	if _, err := RollBack(history, 3); err == nil {
+		t.Error("rolled back beyond what is kept")
+	}
+}
+
+// What can't be planned changes nothing.
+func TestPlans(t *testing.T) {
+	s := newStore(t)
+	s.apply(&Request{ID: "a", Changes: teams(2, 1)}, 1000)
+	st, two := s.state(), uint64(2)
+	for want, q := range map[error]*Request{
+		ErrNoChange:   {ID: "b", Changes: teams(2, 1)},
+		ErrGeneration: {ID: "b", Changes: teams(2, 2), IfGeneration: &two},
+	} {
+		if _, err := st.Plan(q, nil, s.limits); !strings.Contains(fmt.Sprint(err), want.Error()) {
+			t.Errorf("%v, want %v", err, want)
+		}
+	}
+	large, _ := NewDocument(KindCordon, "a", Cordon{Zone: "x", Reason: strings.Repeat("x", 4000)})
+	if _, err := st.Plan(&Request{ID: "b", Changes: []Change{{Document: large}}}, nil, s.limits); err == nil {
+		t.Error("a document larger than a value was planned")
+	}
+}
+
+// A follower that is fed the events of a watch has what a whole read has.
+func TestEvents(t *testing.T) {
+	s := newStore(t)
+	followed, _ := NewState(nil)
+	r := rand.New(rand.NewPCG(7, 7))
+	for i := range 40 {
+		before := s.version
+		s.apply(&Request{ID: fmt.Sprint(i), Changes: teams(1+r.IntN(12), float64(i+1))}, 1000)
+		var events []wire.Event
+		for _, e := range s.entries(Prefix) {
+			if e.Version > before {
+				events = append(events, wire.Event{Put: e.Key, Value: e.Value, Version: e.Version})
+			}
+		}
+		var err error
+		if followed, err = followed.Apply(events); err != nil {
+			t.Fatal(err)
+		}
+		if read := s.state(); !reflect.DeepEqual(followed.Documents(), read.Documents()) || followed.GenerationVersion != read.GenerationVersion {
+			t.Fatalf("after %d: followed %v, read %v", i, followed.Documents(), read.Documents())
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/configapply.go
@@ -0,0 +1,241 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"dalefront/internal/dynconfig"
+	"dalefront/internal/peer"
+	"dalefront/internal/state"
+	"dalefront/wire"
+)
+
+// applier carries out one apply: it reads, plans, and stores the plan on condition that
+// nothing has changed since it read; otherwise it begins again.
+type applier struct {
+	n     *Node
+	q     *dynconfig.Request
+	ask   *peer.ConfigApply
+	first uint64 // generation at the first read; 0: not read yet
+
+	// The version of the generation's key that a switch without an answer was conditional on.
+	// It may yet arrive as long as that is the key's version.
+	unknown *uint64
+}
+
+var errEarlierVersion = errors.New("runs a version that knows no configuration at run time: update it first")
+
+// PeerConfigApply implements peer.Server.
+func (n *Node) PeerConfigApply(ctx context.Context, ask *peer.ConfigApply) (*peer.ConfigApplyAnswer, error) {
+	ctx, cancel := context.WithTimeout(state.Urgent(ctx), peer.ApplyLimit)
+	defer cancel()
+	if ask.ID == "" {
+		return &peer.ConfigApplyAnswer{Outcome: peer.ConfigInvalid, Why: "the apply has no name"}, nil
+	}
+	for i := range ask.Changes {
+		if err := dynconfig.Check(n.set, &ask.Changes[i]); err != nil {
+			return &peer.ConfigApplyAnswer{Outcome: peer.ConfigInvalid, Why: err.Error()}, nil
+		}
+	}
+	a := &applier{n: n, ask: ask, q: &dynconfig.Request{ID: ask.ID, By: ask.By, Changes: ask.Changes, IfGeneration: ask.IfGeneration, At: n.now()}}
+	return a.run(ctx), nil
+}
+
+// applyPause is how long an apply waits before it tries again.
+const applyPause = 60 * time.Millisecond
+
+func (a *applier) run(ctx context.Context) *peer.ConfigApplyAnswer {
+	var last error
+	for ctx.Err() == nil {
+		answer, err := a.try(ctx)
+		if answer != nil {
+			return answer
+		}
+		last = err
+		rest(ctx, applyPause)
+	}
+	if a.unknown != nil {
+		return &peer.ConfigApplyAnswer{Outcome: peer.ConfigUnknown, Why: "the state service gave no answer: it may have been applied, or may yet be"}
+	}
+	return &peer.ConfigApplyAnswer{Outcome: peer.ConfigRefused, Why: fmt.Sprint(last)}
+}
+
+// try reads and stores once. It returns no answer if it is to be tried again.
+func (a *applier) try(ctx context.Context) (*peer.ConfigApplyAnswer, error) {
+	s, _, err := a.n.config.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	// The history is read after the state: what the state shows applied is in it.
+	done, keys, err := a.history(ctx, s)
+	if err != nil || done != nil {
+		return done, err
+	}
+	if a.unknown != nil && *a.unknown != s.GenerationVersion {
+		a.unknown = nil // it failed its condition, and always will
+	}
+	if s.Generation.Staging != "" {
+		if err := a.claim(ctx, s); err != nil {
+			return nil, err
+		}
+		if s, _, err = a.n.config.read(ctx); err != nil {
+			return nil, err
+		}
+	}
+	if a.ask.RollBack != nil {
+		if answer, err := a.rollBack(ctx, s); answer != nil || err != nil {
+			return answer, err
+		}
+	}
+	plan, err := s.Plan(a.q, keys, a.n.set.TxnLimits())
+	switch {
+	case errors.Is(err, dynconfig.ErrNoChange) && a.unknown == nil:
+		return &peer.ConfigApplyAnswer{Outcome: peer.ConfigUnchanged, Generation: s.Generation.Number}, nil
+	case errors.Is(err, dynconfig.ErrGeneration) && a.unknown == nil:
+		return &peer.ConfigApplyAnswer{Outcome: peer.ConfigStale, Generation: s.Generation.Number, Why: err.Error()}, nil
+	case errors.Is(err, dynconfig.ErrStaging), errors.Is(err, dynconfig.ErrNoChange), errors.Is(err, dynconfig.ErrGeneration):
+		return nil, err
+	case err != nil:
+		return &peer.ConfigApplyAnswer{Outcome: peer.ConfigInvalid, Why: err.Error()}, nil
+	}
+	term, err := a.term(ctx)
+	if errors.Is(err, errEarlierVersion) {
+		return &peer.ConfigApplyAnswer{Outcome: peer.ConfigRefused, Why: err.Error()}, nil
+	} else if err != nil {
+		return nil, err
+	}
+	if a.ask.DryRun {
+		return &peer.ConfigApplyAnswer{Outcome: peer.ConfigApplied, Generation: plan.Generation, Changes: plan.Changes}, nil
+	}
+	if err := a.store(ctx, s, plan, term); err != nil {
+		return nil, err
+	}
+	a.tidy(plan.Tidy)
+	_ = a.n.config.refresh(ctx) // the watch brings it all the same
+	return &peer.ConfigApplyAnswer{Outcome: peer.ConfigApplied, Generation: plan.Generation, Changes: plan.Changes}, nil
+}
+
+// oldestHistory is how many of the oldest keys of the history are looked at, to be tidied.
+const oldestHistory = 8
+
+// history looks whether this apply is in force already, and returns the oldest and newest
+// keys of the history. An apply that is asked for the first time can only be there since its
+// first read.
+func (a *applier) history(ctx context.Context, s *dynconfig.State) (*peer.ConfigApplyAnswer, []string, error) {
+	oldest, err := a.n.state.Page(ctx, dynconfig.HistoryPrefix, "", oldestHistory)
+	if err != nil {
+		return nil, nil, err
+	}
+	if a.first == 0 {
+		a.first = s.Generation.Number + 1
+	}
+	from := a.first
+	if a.ask.Again {
+		from = 0
+	}
+	newest, err := a.n.state.Page(ctx, dynconfig.HistoryPrefix, dynconfig.HistoryBefore(from), configPage)
+	if err != nil {
+		return nil, nil, err
+	}
+	history, err := dynconfig.ReadHistory(newest.Items, s.Generation.Number)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, h := range history {
+		if h.Apply == a.q.ID {
+			return &peer.ConfigApplyAnswer{Outcome: peer.ConfigApplied, Generation: h.Generation, Changes: h.Changes}, nil, nil
+		}
+	}
+	return nil, dynconfig.HistoryKeys(append(oldest.Items, newest.Items...)), nil
+}
+
+// claim takes the generation's key over from an apply that is writing, or that ended while it
+// wrote.
+func (a *applier) claim(ctx context.Context, s *dynconfig.State) error {
+	_, err := a.n.state.Multi(ctx, wire.Txn{If: []wire.Cond{generationCond(s.GenerationVersion)}, Then: s.Claim(a.q.ID)})
+	return err
+}
+
+// rollBack makes the request's changes those that lead back to a generation.
+func (a *applier) rollBack(ctx context.Context, s *dynconfig.State) (*peer.ConfigApplyAnswer, error) {
+	entries, _, err := a.n.state.List(ctx, dynconfig.HistoryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	history, err := dynconfig.ReadHistory(entries, s.Generation.Number)
+	if err != nil {
+		return nil, err
+	}
+	if a.q.Changes, err = dynconfig.RollBack(history, *a.ask.RollBack); err != nil {
+		return &peer.ConfigApplyAnswer{Outcome: peer.ConfigInvalid, Why: err.Error()}, nil
+	}
+	return nil, nil
+}
+
+// term is the condition that the leader, if there is one, stores launches on condition of the
+// generation, and stays the leader until the change is stored.
+func (a *applier) term(ctx context.Context) (wire.Cond, error) {
+	e, found, err := a.n.state.Get(ctx, termKey)
+	if err != nil {
+		return wire.Cond{}, err
+	}
+	if !found {
+		if old := a.n.config.earlierPeers(); len(old) > 0 {
+			return wire.Cond{}, fmt.Errorf("%s %w", strings.Join(old, ", "), errEarlierVersion)
+		}
+		return wire.Cond{Key: termKey}, nil
+	}
+	var t termRecord
+	if err := wire.Unmarshal(e.Value, &t); err != nil {
+		return wire.Cond{}, err
+	}
+	old := a.n.config.earlierPeers()
+	if !t.Configures {
+		old = []string{t.Node}
+	}
+	if len(old) > 0 {
+		return wire.Cond{}, fmt.Errorf("%s %w", strings.Join(old, ", "), errEarlierVersion)
+	}
+	return wire.Cond{Key: termKey, Version: e.Version}, nil
+}
+
+// store carries a plan out. Whatever of it has no answer is found by reading again.
+func (a *applier) store(ctx context.Context, s *dynconfig.State, plan *dynconfig.Plan, term wire.Cond) error {
+	version := s.GenerationVersion
+	if plan.Stage != nil {
+		answer, err := a.n.state.Multi(ctx, wire.Txn{If: []wire.Cond{generationCond(version)}, Then: plan.Stage})
+		if err != nil {
+			return err
+		}
+		version = answer.Revision
+	}
+	for _, batch := range plan.Batches {
+		if _, err := a.n.state.Multi(ctx, wire.Txn{If: []wire.Cond{generationCond(version)}, Then: batch}); err != nil {
+			return err
+		}
+	}
+	_, err := a.n.state.Multi(ctx, wire.Txn{If: []wire.Cond{generationCond(version), term}, Then: plan.Switch})
+	if errors.Is(err, state.ErrUnknown) {
+		a.unknown = &version
+	}
+	return err
+}
+
+// tidy deletes old history, in the background: nothing depends on when.
+func (a *applier) tidy(keys []string) {
+	if len(keys) == 0 {
+		return
+	}
+	var txn wire.Txn
+	for _, k := range keys[:min(len(keys), a.n.set.Deployment.State.TxnOps)] {
+		txn.Then = append(txn.Then, wire.Change{Delete: k})
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), peer.ApplyLimit)
+		defer cancel()
+		_, _ = a.n.state.Multi(ctx, txn) // the next apply finds what is left
+	}()
+}
--- a/internal/node/hello.go
+++ b/internal/node/hello.go
@@ -35,6 +35,7 @@
 // started anew lately.
 func (n *Node) meets(label string, h *peer.Hello) int {
 	n.heard(h)
+	n.config.heard(label, h)
 	n.warm.lives(label, h.Born)
 	return n.greeted(label, h.Born, time.Now())
 }
@@ -85,6 +86,7 @@
 	leader, token, leading := n.view()
 	h := &peer.Hello{From: n.set.Label, Leader: leader, Token: token, Born: n.born, Acts: leading != 0 && leading == token}
 	h.Unfit = n.warm.unfit()
+	h.Configures, h.Generation = true, n.config.current().number
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.stand.Token > 0 {
--- a/internal/node/leadership.go
+++ b/internal/node/leadership.go
@@ -94,6 +94,7 @@
 		n.mu.Unlock()
 		if ok {
 			n.leadership = r
+			n.config.configureCore() // it may have changed while the state was loaded
 			n.dirty = true
 		}
 		installed <- ok
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"dalefront/internal/dynconfig"
 	"dalefront/internal/sched"
 	"dalefront/internal/standby"
 	"dalefront/wire"
@@ -65,6 +66,8 @@
 	n := r.n
 	s := &stored{ledger: map[string]sched.Entry{}}
 	copied := r.loadCopy()
+	configured := make(chan error, 1)
+	go func() { configured <- n.config.refresh(r.ctx) }()
 	jobs, rev, err := r.list(copied, jobPrefix)
 	if err != nil {
 		return nil, err
@@ -119,6 +122,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := <-configured; err != nil { // the first decision is made by what is stored now
+		return nil, err
+	}
 	for _, e := range ends {
 		end := storedEnd{id: strings.TrimPrefix(e.Key, endPrefix)}
 		if err := wire.Unmarshal(e.Value, &end.endRecord); err != nil {
@@ -142,7 +148,12 @@
 	n := r.n
 	cat, _ := n.types()
 	now := n.now()
-	core := sched.New(n.set, r.token, now, cat, func(msg string, args ...any) { n.log.Info(msg, args...) })
+	if err := n.config.follows(s.config, s.revision); err != nil {
+		return nil, err
+	}
+	inForce := n.config.current()
+	core := sched.New(inForce.settings, r.token, now, cat, func(msg string, args ...any) { n.log.Info(msg, args...) })
+	core.Configure(inForce.settings, inForce.cordons, inForce.version, now)
 	r.tidy, r.chunks, r.chunkAt = nil, map[string]int{}, map[string]uint64{}
 	for _, rec := range s.jobs {
 		core.AddJob(rec.Job, rec.Arrival, now)
@@ -217,6 +228,7 @@
 	learned  *sched.Learned
 	hires    []string // keys
 	schedule []wire.Entry
+	config   []wire.Entry // of a copy; otherwise it was read already
 	ends     []storedEnd
 	stray    []string // keys that are of no use
 	revision uint64
@@ -257,6 +269,10 @@
 		s.learn(it.Value)
 	}
 	s.hires = c.Under(hirePrefix)
+	for _, k := range c.Under(dynconfig.Prefix) {
+		it, _ := c.Get(k)
+		s.config = append(s.config, wire.Entry{Key: k, Value: it.Value, Version: it.Version})
+	}
 	for _, k := range c.Under(schedulePrefix) {
 		it, _ := c.Get(k)
 		s.schedule = append(s.schedule, wire.Entry{Key: k, Value: it.Value, Version: it.Version})
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime"
 	"strings"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -83,6 +84,17 @@
 	}))
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "cancellations_waiting",
 		Help: "Users that wait here until the tasks of a job that they cancelled are gone."}, func() float64 { return float64(len(n.cancels)) }))
+	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "goroutines", Help: "Goroutines of this process."},
+		func() float64 { return float64(runtime.NumGoroutine()) }))
+	for name, x := range map[string]struct {
+		help string
+		read func() float64
+	}{
+		"config_generation":      {"Generation of the configuration that this node decides by.", func() float64 { return float64(n.config.current().number) }},
+		"config_refused_batches": {"Batches of launches that were decided anew since the configuration had changed.", func() float64 { return float64(n.config.refused.Load()) }},
+	} {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: name, Help: x.help}, x.read))
+	}
 	reg.MustRegister(shares{n})
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "overseer", Help: "1 while this node acts as overseer."}, func() float64 {
 		_, _, leading := n.view()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,7 +55,8 @@
 	dirty      bool
 	work       work
 
-	warm *warm
+	warm   *warm
+	config *configuration
 
 	beat atomic.Int64 // when the owner goroutine last came by
 
@@ -109,6 +110,7 @@
 	}
 	n.archive = archive.NewReader(n.state)
 	n.warm = newWarm(n)
+	n.config = newConfiguration(n)
 	if file := set.Operator.Calendar; file != "" {
 		var err error
 		if n.cal, err = calendar.Load(file); err != nil {
@@ -157,6 +159,7 @@
 	go n.termLoop(ctx)
 	go n.probe(ctx)
 	go n.warm.follow(ctx)
+	go n.config.follow(ctx)
 	go n.warm.watchLeader(ctx)
 	go n.warmArchive(ctx)
 	pace := n.lookupPace()
--- a/internal/node/standby.go
+++ b/internal/node/standby.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"dalefront/internal/dynconfig"
 	"dalefront/internal/peer"
 	"dalefront/internal/sched"
 	"dalefront/internal/standby"
@@ -56,7 +57,7 @@
 
 // followed lists the prefixes that a takeover needs, in the order in which they are read;
 // ends are kept of jobs whose records are there.
-var followed = []string{jobPrefix, donePrefix, ledgerPrefix, learnedKey, hirePrefix, schedulePrefix}
+var followed = []string{jobPrefix, donePrefix, ledgerPrefix, learnedKey, hirePrefix, schedulePrefix, dynconfig.Prefix}
 
 func (w *warm) newCopy() *standby.Copy {
 	keep := func(key string) bool {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dalefront/internal/archive"
+	"dalefront/internal/dynconfig"
 	"dalefront/internal/sched"
 	"dalefront/internal/state"
 	"dalefront/wire"
@@ -35,7 +36,7 @@
 // copy can ever be applied.
 func (r *leadership) commit(cm *sched.Commit) {
 	n := r.n
-	txn := CommitTxn(cm, r.termCond())
+	txn := CommitTxn(cm, r.termCond(), generationCond(cm.Generation))
 	txn.If = n.guarded(txn.If, cm.Jobs...)
 	unknown := false
 	for r.ctx.Err() == nil {
@@ -70,6 +71,7 @@
 			return
 		}
 		r.busyCommit = false
+		n.config.configureCore() // what was refused is decided by the newest one
 		if ok {
 			r.core.Committed(cm, n.now())
 		} else {
@@ -98,6 +100,12 @@
 					n.post(func() { r.end() })
 					return
 				}
+			case k == dynconfig.GenerationKey:
+				// Decided by a configuration that is in force no more: decided anew.
+				n.config.refused.Add(1)
+				if n.config.refresh(r.ctx) != nil {
+					again = true
+				}
 			case strings.HasPrefix(k, endPrefix) && found:
 				n.post(func() {
 					if n.leadership == r {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -16,6 +16,10 @@
 	Node string `msgpack:"N"`
 	Mark string `msgpack:"M"`
 	Born uint64 `msgpack:"B,omitempty"` // of the process; earlier versions have none
+
+	// Launches are stored on condition of the configuration's generation. Earlier versions
+	// know none: while one of them leads, nothing is applied.
+	Configures bool `msgpack:"C,omitempty"`
 }
 
 // hold is a lease of the state service, renewed in the background.
@@ -115,7 +119,7 @@
 		mark := fmt.Sprintf("%s.%d.%d", n.set.Label, n.wall, h.id)
 		a, err := n.state.Multi(ctx, wire.Txn{
 			If:   []wire.Cond{{Key: termKey, Version: left}},
-			Then: []wire.Change{{Put: termKey, Value: termRecord{n.set.Label, mark, n.born}, Lease: h.id}},
+			Then: []wire.Change{{Put: termKey, Value: termRecord{Node: n.set.Label, Mark: mark, Born: n.born, Configures: true}, Lease: h.id}},
 		})
 		token := a.Revision
 		if errors.Is(err, state.ErrUnknown) {
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -159,7 +159,7 @@
 	if !ok {
 		return wire.JobStatus{}, false, api.ErrNotNow
 	}
-	never := sched.Admit(n.set, cat, j)
+	never := sched.Admit(n.config.current().settings, cat, j)
 	if never != nil {
 		// A known job stays known, whatever the settings say by now.
 		st, err := n.Status(ctx, j.ID)
--- /dev/null
+++ b/internal/peer/config.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"dalefront/internal/dynconfig"
+)
+
+// ConfigApply asks a controller to change the configuration.
+type ConfigApply struct {
+	ID           string             `msgpack:"i"` // names the apply; repeated, it takes effect once
+	By           string             `msgpack:"b"`
+	Changes      []dynconfig.Change `msgpack:"c"`
+	RollBack     *uint64            `msgpack:"r,omitempty"` // to this generation, instead of the changes
+	IfGeneration *uint64            `msgpack:"g,omitempty"`
+	Again        bool               `msgpack:"a,omitempty"` // it was asked for before, and the answer was lost
+	DryRun       bool               `msgpack:"d,omitempty"`
+}
+
+// Outcomes of an apply.
+const (
+	ConfigApplied   = "applied"
+	ConfigUnchanged = "unchanged" // all documents are as wanted
+	ConfigInvalid   = "invalid"   // nothing was changed; asking again doesn't help
+	ConfigStale     = "stale"     // another generation is in force than the one asked for
+	ConfigRefused   = "refused"   // nothing was changed; later it may be
+	ConfigUnknown   = "unknown"   // it may have been applied, or may yet be
+)
+
+// ConfigApplyAnswer says what became of it.
+type ConfigApplyAnswer struct {
+	Outcome    string                    `msgpack:"o"`
+	Generation uint64                    `msgpack:"g"` // that is in force because of it, or would be
+	Changes    []dynconfig.HistoryChange `msgpack:"c"`
+	Why        string                    `msgpack:"w,omitempty"`
+}
+
+// ConfigRead asks for the configuration as the state service has it.
+type ConfigRead struct {
+	History bool `msgpack:"h,omitempty"` // of the generations that are kept, too
+}
+
+// ConfigReadAnswer is the configuration in force.
+type ConfigReadAnswer struct {
+	Generation uint64               `msgpack:"g"`
+	Documents  []dynconfig.Document `msgpack:"d"`
+	History    []dynconfig.History  `msgpack:"h,omitempty"` // the newest first
+	Why        string               `msgpack:"w,omitempty"` // why it can't be read
+}
+
+// ConfigStatus asks for what a controller decides by.
+type ConfigStatus struct{}
+
+// ConfigStatusAnswer is the generation that a controller decides by.
+type ConfigStatusAnswer struct {
+	Label      string   `msgpack:"l"`
+	Known      bool     `msgpack:"k"` // it has read the configuration since it was started
+	Generation uint64   `msgpack:"g"`
+	Since      int64    `msgpack:"s"`           // microseconds, time of day
+	Unknown    []string `msgpack:"u,omitempty"` // documents that it can't use
+}
+
+const (
+	// ApplyLimit is for how long a controller tries to carry out an apply.
+	ApplyLimit       = 10 * time.Second
+	configReadLimit  = 5 * time.Second
+	configStatLimit  = time.Second
+	applyAnswerLimit = ApplyLimit + 2*time.Second
+)
+
+// ConfigApply asks for a change of configuration.
+func (c *Client) ConfigApply(ctx context.Context, q *ConfigApply) (*ConfigApplyAnswer, error) {
+	return call[ConfigApplyAnswer](c, applyAnswerLimit, ctx, "ConfigApply", q)
+}
+
+// ConfigRead asks for the stored configuration.
+func (c *Client) ConfigRead(ctx context.Context, q *ConfigRead) (*ConfigReadAnswer, error) {
+	return call[ConfigReadAnswer](c, configReadLimit, ctx, "ConfigRead", q)
+}
+
+// ConfigStatus asks for what the controller decides by.
+func (c *Client) ConfigStatus(ctx context.Context) (*ConfigStatusAnswer, error) {
+	return call[ConfigStatusAnswer](c, configStatLimit, ctx, "ConfigStatus", &ConfigStatus{})
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -42,6 +42,9 @@
 	View  *standby.View `msgpack:"v,omitempty"` // who stands by, as the leader or whoever heard it says
 	Unfit bool          `msgpack:"u,omitempty"` // the sender could not follow lately
 
+	Configures bool   `msgpack:"cf,omitempty"` // the sender knows configuration that changes at run time
+	Generation uint64 `msgpack:"cg,omitempty"` // of the configuration that the sender decides by
+
 	// A question whether the receiver reaches a process of another node, and its answer.
 	Probe     string `msgpack:"p,omitempty"`
 	ProbeBorn uint64 `msgpack:"pb,omitempty"`
@@ -85,6 +88,9 @@
 	PeerRelay(context.Context, *Relay) (*RelayAnswer, error)
 	PeerCounts(context.Context, *Counts) (*CountsAnswer, error)
 	PeerHandOver(context.Context, *HandOver) (*HandOverAnswer, error)
+	PeerConfigApply(context.Context, *ConfigApply) (*ConfigApplyAnswer, error)
+	PeerConfigRead(context.Context, *ConfigRead) (*ConfigReadAnswer, error)
+	PeerConfigStatus(context.Context, *ConfigStatus) (*ConfigStatusAnswer, error)
 }
 
 const service = "dalefront.Peer"
@@ -107,6 +113,9 @@
 		method("Relay", Server.PeerRelay),
 		method("Counts", Server.PeerCounts),
 		method("HandOver", Server.PeerHandOver),
+		method("ConfigApply", Server.PeerConfigApply),
+		method("ConfigRead", Server.PeerConfigRead),
+		method("ConfigStatus", Server.PeerConfigStatus),
 	},
 }
 
--- a/internal/sched/batch.go
+++ b/internal/sched/batch.go
@@ -256,7 +256,7 @@
 	first := &Commit{moved: b.moved, Drop: b.drop}
 	parts := split(append(append([]*placement{}, b.placements...), b.moved...), b.limits.value)
 	for cm := first; ; cm = cm.next {
-		cm.placements, cm.Jobs = b.placements, ids
+		cm.placements, cm.Jobs, cm.Generation = b.placements, ids, c.generation
 		cm.parts = parts
 		if b.large {
 			cm.parts = parts[:min(b.limits.entries, len(parts))]
--- /dev/null
+++ b/internal/sched/configure_test.go
@@ -0,0 +1,143 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"dalefront/internal/config"
+	"dalefront/internal/dynconfig"
+	"dalefront/wire"
+)
+
+// configure takes documents as a generation with the version.
+func (b *bed) configure(version uint64, docs ...dynconfig.Document) {
+	set, cordons, _ := dynconfig.Merge(b.base, docs)
+	b.Configure(set, cordons, version, b.now)
+}
+
+func teamLimit(name string, cpus float64) dynconfig.Document {
+	d, _ := dynconfig.NewDocument(dynconfig.KindTeam, name, dynconfig.Team{CPUsMax: &cpus})
+	return d
+}
+
+func cordon(c dynconfig.Cordon) dynconfig.Document {
+	d, _ := dynconfig.NewDocument(dynconfig.KindCordon, "c", c)
+	return d
+}
+
+// A limit lowered below what runs stops nothing; nothing starts until enough has ended, and the
+// job that exceeds it waits and says for what. Raised again, the rest starts.
+func TestLoweredLimit(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a", CPUsMax: 6})
+	b.report("n-1", "s", "x", 1)
+	b.AddJob(spec("j-1", "a", wire.Normal, 4, 1), b.now, b.now)
+	if cm := b.schedule(); cm == nil || cm.Launches() != 4 || cm.Generation != 0 {
+		t.Fatalf("a batch of %+v", cm)
+	}
+	b.report("n-1", "s", "x", 1, b.running("n-1")...)
+	b.configure(40, teamLimit("a", 2))
+	b.AddJob(spec("j-2", "a", wire.Production, 4, 1), b.now, b.now)
+	for range 10 {
+		b.now += second
+		a := b.report("n-1", "s", "x", 1, b.running("n-1")...)
+		if cm := b.schedule(); cm != nil || len(a.Orders) > 0 || len(b.Directs()) > 0 {
+			t.Fatalf("with a lower limit: %+v, orders %+v", cm, a.Orders)
+		}
+	}
+	if w := b.Waits(1); len(w) != 1 || w[0].Job != "j-2" || w[0].Why != "its team's limit" {
+		t.Errorf("it waits for %+v", w)
+	}
+	if s, _, _, known := b.Counts("j-2"); !known || s != wire.JobQueued {
+		t.Errorf("the job is %s, known %v", s, known)
+	}
+	b.configure(41, teamLimit("a", 5))
+	if cm := b.schedule(); cm == nil || cm.Launches() != 1 || cm.Generation != 41 {
+		t.Fatalf("with a limit of one more: %+v", cm)
+	}
+}
+
+// Nothing starts on a cordoned machine and none is rented there; what runs stays, unless it is
+// drained. Once the cordon has ended by its time, all is as before.
+func TestCordon(t *testing.T) {
+	b := newBed(t, config.Team{Name: "a"})
+	b.report("n-1", "s", "x", 1)
+	b.AddJob(spec("j-1", "a", wire.Normal, 2, 1), b.now, b.now)
+	b.schedule()
+	until := b.now + 30*second
+	b.configure(40, cordon(dynconfig.Cordon{Zone: "x", Until: until}))
+	b.AddJob(spec("j-2", "a", wire.Normal, 2, 1), b.now, b.now)
+	b.report("n-1", "s", "x", 1, b.running("n-1")...)
+	if cm := b.schedule(); cm != nil || len(b.Directs()) > 0 {
+		t.Fatalf("beside a cordon: %+v", cm)
+	}
+	if w := b.Waits(1); len(w) != 1 || w[0].Why != "no room outside the cordon c" {
+		t.Errorf("it waits for %+v", w)
+	}
+	b.now += 5 * second
+	b.Machines(nil, b.now)
+	b.report("n-1", "s", "x", 1, b.running("n-1")...)
+	hires := b.Hires(b.now)
+	if len(hires) == 0 {
+		t.Error("nothing is rented elsewhere")
+	}
+	for _, h := range hires {
+		if h.Zone == "x" {
+			t.Errorf("%+v is rented in a cordoned zone", h)
+		}
+	}
+	b.configure(41, cordon(dynconfig.Cordon{Machine: "n-1", Drain: true, Until: until}))
+	b.schedule()
+	stops := 0
+	for _, d := range b.Directs() {
+		for _, o := range d.Orders.Orders {
+			if o.Op == wire.Stop {
+				stops++
+			}
+		}
+	}
+	if stops != 2 {
+		t.Errorf("%d of 2 tasks on a drained machine were stopped", stops)
+	}
+	b.now = until
+	b.report("n-1", "s", "x", 1)
+	if cm := b.schedule(); cm == nil || cm.Launches() != 4 {
+		t.Errorf("after the cordon's end: %+v", cm)
+	}
+}
+
+// The parts of a gang that takes several transactions are all stored by the generation that
+// they were decided by: a cordon on its zone in between refuses the rest, and undoes all.
+func TestConfigurationBetweenPartsOfAGang(t *testing.T) {
+	const n = 700
+	b := newBed(t, config.Team{Name: "a"})
+	for i := range n {
+		b.report(fmt.Sprintf("n-%06d", i), "s", "x", 1)
+	}
+	g := spec("j-1", "a", wire.Normal, n, 8)
+	g.Shape, g.OneZone = wire.Gang, true
+	b.AddJob(g, b.now, b.now)
+	b.configure(40)
+	var first *Commit
+	for i := 0; i < 5 && first == nil; i++ {
+		b.now += second / 10
+		first = b.Schedule(b.now)
+	}
+	if first == nil || first.next == nil || first.Generation != 40 {
+		t.Fatalf("the gang takes %+v", first)
+	}
+	b.Committed(first, b.now)
+	b.configure(41, cordon(dynconfig.Cordon{Zone: "x"}))
+	second := b.Schedule(b.now)
+	if second == nil || second.Generation != 40 {
+		t.Fatalf("the second part carries another generation: %+v", second)
+	}
+	b.Refused(second, b.now)
+	if cm := b.schedule(); cm != nil {
+		t.Errorf("the gang starts in the cordoned zone: %d launches", cm.Launches())
+	}
+	for _, m := range b.machines {
+		if m.n > 0 {
+			t.Fatalf("%s still has %d launches of the refused gang", m.host, m.n)
+		}
+	}
+}
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -193,7 +193,7 @@
 	}
 	reserved := -c.reserve()
 	for _, m := range hosts {
-		if !m.returning && m.confirmed {
+		if !m.returning && m.confirmed && m.cordon == nil {
 			reserved += c.serves(m.kind, m.zone, m.spot)
 		}
 	}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -59,6 +59,10 @@
 	Jobs    []string
 	Drop    []string
 
+	// Generation is the version of the configuration's generation by which the batch was
+	// decided: it must not be stored once another is in force.
+	Generation uint64
+
 	placements []*placement   // to be launched once the batch is stored
 	moved      []*placement   // in the ledger already, or found on a machine
 	parts      [][]*placement // by entry
@@ -72,6 +76,9 @@
 	next *Commit
 }
 
+// Launches is how many tasks the batch starts, or with its other parts.
+func (cm *Commit) Launches() int { return len(cm.placements) }
+
 // unfinished is the batch that is being stored, or of which a part still is to be, or nil.
 func (c *Core) unfinished() *Commit {
 	if c.commit != nil {
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -12,6 +12,7 @@
 
 	"dalefront/internal/config"
 	"dalefront/internal/domain"
+	"dalefront/internal/dynconfig"
 	"dalefront/wire"
 )
 
@@ -312,8 +313,9 @@
 	told      Micros // when another controller last heard it, 0 if none said so
 	running   Micros // the latest moment of which a list shows it running
 	verdict   domain.Verdict
-	pushed    Micros // when the token was last sent straight to it
-	recallAt  Micros // when the cloud takes it, 0 if unknown
+	pushed    Micros            // when the token was last sent straight to it
+	cordon    *dynconfig.Cordon // that keeps new tasks off, as of the last pass
+	recallAt  Micros            // when the cloud takes it, 0 if unknown
 	returning bool
 	lost      bool // silent beyond its lease
 	failed    bool
@@ -402,13 +404,15 @@
 	changed bool       // something happened that a pass may use
 
 	// the ledger
-	entries  map[string]*entry
-	spent    []*entry            // nothing of them is left
-	fragile  map[string]struct{} // they name returned machines
-	strays   []*placement        // found on machines, not in any entry
-	kept     Micros              // when the books were last kept
-	reckoned Micros              // when it was last found out who is behind
-	ranks    [4]int              // placements by their jobs' rank
+	entries    map[string]*entry
+	spent      []*entry            // nothing of them is left
+	fragile    map[string]struct{} // they name returned machines
+	cordons    []dynconfig.Cordon
+	generation uint64       // version of the configuration's generation that decisions are made by
+	strays     []*placement // found on machines, not in any entry
+	kept       Micros       // when the books were last kept
+	reckoned   Micros       // when it was last found out who is behind
+	ranks      [4]int       // placements by their jobs' rank
 
 	ends   []string
 	forget []Forgotten
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -14,7 +14,7 @@
 // worker has confirmed this term's token in its present session is known well
 // enough.
 func (c *Core) usable(m *machine) bool {
-	return m.confirmed && !m.returning && !m.lost && !m.failed && !m.bad && m.recallAt == 0 &&
+	return m.confirmed && !m.returning && !m.lost && !m.failed && !m.bad && m.recallAt == 0 && m.cordon == nil &&
 		c.now >= m.avoid && c.now-m.lastHello < 2*config.Micro(c.set.Deployment.Workers.ReportS)+second
 }
 
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		total++
-		if m.recallAt > 0 || m.bad {
+		if m.recallAt > 0 || m.bad || m.cordon != nil {
 			continue
 		}
 		overdue := !m.up && now-m.born > config.Micro(2*m.kind.BootS)+10*second
@@ -300,7 +300,7 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if (j.spec.Zone != nil && *j.spec.Zone != z) || (only != "" && z != only) || !zoneOK(j, used, z) || c.domains.IsCut(z) {
+			if (j.spec.Zone != nil && *j.spec.Zone != z) || (only != "" && z != only) || !zoneOK(j, used, z) || c.domains.IsCut(z) || !c.mayHire(n, z) {
 				continue // what is rented in a zone that is cut off can't be reached
 			}
 			for _, s := range []bool{true, false} {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -13,6 +13,8 @@
 	*Core
 	t   testing.TB
 	seq uint64
+
+	base *config.Settings // of the platform
 }
 
 func newBed(t testing.TB, teams ...config.Team) *bed {
@@ -30,7 +32,7 @@
 		{Name: "s", CPUs: 8, MemoryGB: 64, FetchGBPS: 1, Price: 1, SpotPrice: 0.5, BootS: 20, Zones: []string{"x", "y"}},
 		{Name: "g", CPUs: 12, GPUs: 2, MemoryGB: 64, FetchGBPS: 1, Price: 8, SpotPrice: 4, BootS: 30, Zones: []string{"x", "y"}},
 	}}
-	return &bed{Core: New(&set, 7, 1000*second, cat, func(string, ...any) {}), t: t}
+	return &bed{Core: New(&set, 7, 1000*second, cat, func(string, ...any) {}), t: t, base: &set}
 }
 
 func (b *bed) report(host, typ, zone string, session uint64, tasks ...wire.TaskReport) wire.ReportAnswer {
--- a/internal/sched/tend.go
+++ b/internal/sched/tend.go
@@ -41,6 +41,9 @@
 		if m.recallAt > 0 && m.confirmed {
 			c.drain(m)
 		}
+		if m.cordon = c.cordonOf(m); m.cordon != nil && m.cordon.Drain && m.confirmed {
+			c.leave(m)
+		}
 		if len(m.errJobs) >= strikesOut {
 			c.judge(m)
 		}
--- a/internal/sched/why.go
+++ b/internal/sched/why.go
@@ -1,6 +1,10 @@
 package sched
 
-import "sort"
+import (
+	"sort"
+
+	"dalefront/internal/dynconfig"
+)
 
 // Wait says why a job waits.
 type Wait struct {
@@ -67,12 +71,28 @@
 		w.Why = "its team's limit"
 	case w.Room == 0 || j.gang() && w.Room < w.Tasks:
 		w.Why = "no room"
+		if x := c.keptOff(j); x != nil {
+			w.Why = "no room outside the cordon " + x.Name
+		}
 	default:
 		w.Why = "next pass"
 	}
 	return w
 }
 
+// keptOff is a cordon that keeps the job off a machine that it could use, nil for none.
+func (c *Core) keptOff(j *job) *dynconfig.Cordon {
+	if len(c.cordons) == 0 {
+		return nil
+	}
+	for _, m := range c.order {
+		if m.cordon != nil && allowed(j, m) && slots(j, m.kind, m.cpus, m.gpus, m.mem) > 0 {
+			return m.cordon
+		}
+	}
+	return nil
+}
+
 // Use says how a class or a type is used.
 type Use struct {
 	Name  string
--- /dev/null
+++ b/internal/sim/config_test.go
@@ -0,0 +1,400 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"dalefront/internal/config"
+	"dalefront/internal/dynconfig"
+	"dalefront/internal/peer"
+	"dalefront/internal/sched"
+	"dalefront/wire"
+)
+
+// document makes a document of a body that can be encoded.
+func document(kind, name string, body any) dynconfig.Document {
+	d, err := dynconfig.NewDocument(kind, name, body)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+// randomDocuments lowers the limits of some teams and cordons some machines.
+func randomDocuments(w *World) (out []dynconfig.Document) {
+	r := w.Rng
+	for _, team := range []string{"red", "blue"} {
+		if r.IntN(3) == 0 {
+			limit, guarantee := []float64{0.001, 2, 5, 9, 15, 20}[r.IntN(6)], float64(r.IntN(9))
+			out = append(out, document(dynconfig.KindTeam, team, dynconfig.Team{CPUsMax: &limit, CPUs: &guarantee}))
+		}
+	}
+	for i := range r.IntN(3) {
+		c := dynconfig.Cordon{Drain: r.IntN(3) == 0}
+		switch r.IntN(3) {
+		case 0:
+			c.Zone = []string{"x", "y"}[r.IntN(2)]
+		case 1:
+			c.Type = []string{"s", "g"}[r.IntN(2)]
+		case 2:
+			if hosts := keys(w.workers); len(hosts) > 0 {
+				c.Machine = hosts[r.IntN(len(hosts))]
+			}
+		}
+		if r.IntN(2) == 0 {
+			c.Until = w.Now + int64(r.IntN(int(30*second)))
+		}
+		if c.Zone+c.Type+c.Machine != "" {
+			out = append(out, document(dynconfig.KindCordon, fmt.Sprint("c", i), c))
+		}
+	}
+	return out
+}
+
+// TestConfigurationWorlds changes limits and cordons among the troubles that TestRules plays:
+// whoever leads, and however late a batch is stored, no start is stored beyond the limits in
+// force at that moment, or on a machine that is cordoned. Jobs that exceed a lowered limit stay
+// accepted; once all documents are gone nothing is left waiting.
+func TestConfigurationWorlds(t *testing.T) {
+	runs, changes, refused, stopped := 0, 0, 0, 0
+	for seed := uint64(1); seed <= 16; seed++ {
+		w := world(t, 7000+seed)
+		w.Sound = true
+		for i := range 6 {
+			w.Boot([]string{"s", "g"}[i%2], []string{"x", "y"}[i/2%2], i%3 == 0)
+		}
+		check := func(step int) {
+			t.Helper()
+			if len(w.Broken) > 0 {
+				t.Fatalf("seed %d, step %d: %s", seed, step, w.Broken[0])
+			}
+		}
+		jobs := 0
+		for step := range 3000 {
+			r := w.Rng
+			if r.IntN(40) == 0 && len(w.Active()) < 12 {
+				jobs++
+				if j := randomJob(w, jobs); sched.Admit(w.Set, w.Catalog, &j) == nil {
+					w.Submit(j)
+				}
+			}
+			if a := w.Active(); r.IntN(200) == 0 && len(a) > 0 {
+				w.Cancel(a[r.IntN(len(a))])
+			}
+			burst := step%1000 > 850 // as many changes as there are batches
+			if r.IntN(60) == 0 || burst && r.IntN(2) == 0 {
+				w.Reconfigure(randomDocuments(w), 15*second)
+			}
+			if r.IntN(300) == 0 {
+				w.Takeover()
+			}
+			if r.IntN(800) == 0 {
+				w.Kill()
+			}
+			w.Step()
+			check(step)
+		}
+		w.Reconfigure(nil, second)
+		w.Settle()
+		for step := range 3000 {
+			w.Step()
+			check(3000 + step)
+		}
+		runs, changes, refused = runs+w.Runs, changes+w.Reconfigured, refused+w.Refused
+		stopped += w.Core.Stats.Evictions
+	}
+	t.Log(runs, "starts,", changes, "changes,", refused, "batches refused")
+	if runs < 1000 || changes < 1000 || refused < 100 {
+		t.Fatalf("the worlds did too little to show anything: %d starts, %d changes, %d batches refused", runs, changes, refused)
+	}
+}
+
+// TestSteadyChanges changes the configuration more often than a batch takes to be stored: what
+// is refused is decided again, and jobs go on starting.
+func TestSteadyChanges(t *testing.T) {
+	w := world(t, 7100)
+	w.Calm, w.Sound = true, true
+	for i := range 6 {
+		w.Boot("s", []string{"x", "y"}[i%2], false)
+	}
+	limits := []float64{18, 19}
+	for step := range 6000 {
+		if step%40 == 0 && len(w.Active()) < 30 {
+			j := randomJob(w, step+1)
+			j.Shape, j.Tasks, j.GPUs, j.CPUs, j.Zone, j.Types = wire.Array, 1, 0, 1, nil, nil
+			w.Submit(j)
+		}
+		if step%2 == 0 {
+			limit := limits[step/2%2]
+			w.Reconfigure([]dynconfig.Document{document(dynconfig.KindTeam, "red", dynconfig.Team{CPUsMax: &limit})}, second/10)
+		}
+		w.Step()
+		if len(w.Broken) > 0 {
+			t.Fatalf("step %d: %s", step, w.Broken[0])
+		}
+	}
+	if w.Runs < 100 || w.Refused < 100 {
+		t.Errorf("%d starts beside %d changes, %d batches refused", w.Runs, w.Reconfigured, w.Refused)
+	}
+}
+
+// configCall is what an operator asked about the cordon "a".
+type configCall struct {
+	op    string // get or apply
+	value string // to be stored
+}
+
+// configModel is one register: what is applied is in force for whoever reads after it.
+var configModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		in, out := input.(configCall), output.(string)
+		switch {
+		case in.op == "get" && out == state:
+			return []any{state}
+		case in.op == "get":
+			return nil
+		case out == peer.ConfigApplied, out == peer.ConfigUnchanged && state == in.value:
+			return []any{in.value}
+		case out == peer.ConfigUnknown:
+			return []any{state, in.value}
+		}
+		return nil
+	},
+	Equal:             func(a, b any) bool { return a == b },
+	DescribeOperation: func(in, out any) string { return fmt.Sprint(in, " -> ", out) },
+}
+
+// operators apply and read the cordon "a" at random nodes, and keep the history.
+type operators struct {
+	c       *cluster
+	begin   time.Time
+	mu      sync.Mutex
+	history []porcupine.Operation
+	applied atomic.Int64
+}
+
+func (o *operators) record(client int, in configCall, out string, from time.Time) {
+	to := time.Since(o.begin).Nanoseconds()
+	if out == peer.ConfigUnknown {
+		to = 1 << 62
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history = append(o.history, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: from.Sub(o.begin).Nanoseconds(), Return: to})
+}
+
+// apply stores the cordon, with a zone that covers the machine or another. A lost answer is
+// asked for again at the next node, under the same name.
+func (o *operators) apply(client int, zone, value string) string {
+	change := dynconfig.Change{Document: document(dynconfig.KindCordon, "a", dynconfig.Cordon{Zone: zone, Reason: value})}
+	q := &peer.ConfigApply{ID: value, Changes: []dynconfig.Change{change}}
+	from := time.Now()
+	out := peer.ConfigRefused
+	for k := range o.c.nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		a, err := o.c.nodes[(client+k)%len(o.c.nodes)].PeerConfigApply(ctx, q)
+		cancel()
+		if err != nil {
+			o.c.t.Error(err)
+		}
+		if out = a.Outcome; out != peer.ConfigRefused && out != peer.ConfigUnknown {
+			break
+		}
+		q.Again = true
+	}
+	switch out {
+	case peer.ConfigApplied, peer.ConfigUnchanged:
+		o.applied.Add(1)
+	case peer.ConfigRefused:
+		out = peer.ConfigUnknown // an earlier node may not have known
+	case peer.ConfigUnknown:
+	default:
+		o.c.t.Errorf("an apply was %s", out)
+	}
+	o.record(client, configCall{"apply", value}, out, from)
+	return out
+}
+
+func (o *operators) get(client int) {
+	from := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	a, err := o.c.nodes[client%len(o.c.nodes)].PeerConfigRead(ctx, &peer.ConfigRead{})
+	if err != nil || a.Why != "" {
+		return // it changes nothing
+	}
+	value := ""
+	for _, d := range a.Documents {
+		var cordon dynconfig.Cordon
+		if wire.Unmarshal(d.Body, &cordon) == nil {
+			value = cordon.Reason
+		}
+	}
+	o.record(client, configCall{op: "get"}, value, from)
+}
+
+// storedCordon is the zone that the cordon "a" is stored with.
+func storedCordon(value []byte) string {
+	var r dynconfig.Record
+	var cordon dynconfig.Cordon
+	if wire.Unmarshal(value, &r) != nil || r.Current == nil || wire.Unmarshal(r.Current.Body, &cordon) != nil {
+		return ""
+	}
+	return cordon.Zone
+}
+
+// starts watches the state service: no launch may be stored while the cordon in force covers
+// the machine's zone.
+type starts struct {
+	mu       sync.Mutex
+	zone     string // of the cordon
+	launches map[string]bool
+	wrong    []string
+}
+
+func (s *starts) stored(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if key == dynconfig.DocumentPrefix+"cordon/a" {
+		s.zone = storedCordon(value)
+		return
+	}
+	var e sched.Entry
+	if !strings.HasPrefix(key, "l/") || wire.Unmarshal(value, &e) != nil {
+		return
+	}
+	for _, run := range e.Runs {
+		for _, task := range run.Tasks {
+			name := fmt.Sprint(wire.TaskName(run.Job, task), " try ", run.Attempt)
+			if !s.launches[name] && e.Hosts[run.Host].Zone == s.zone {
+				s.wrong = append(s.wrong, name)
+			}
+			s.launches[name] = true
+		}
+	}
+}
+
+// TestConfigurationHistories runs operators that apply and read a cordon at three nodes while
+// jobs start and end, answers and requests of the state service are lost or late, it fails for
+// a while, and the leader's node ends. What operators were told must be explained by one order
+// of events, and no launch is stored while the cordon in force covers its machine.
+func TestConfigurationHistories(t *testing.T) {
+	c := newCluster(t, 3, func(s *config.Settings) { s.Deployment.Zones = []string{"x", "y"} })
+	seen := &starts{launches: map[string]bool{}}
+	c.svc.OnStored(seen.stored)
+	for i := range c.addrs {
+		c.until("healthy", func() bool { code, _ := c.ask(i, http.MethodGet, wire.PathHealth, nil, nil); return code == 200 })
+	}
+	c.until("a leader", func() bool { return c.report(0) == 200 })
+	o := &operators{c: c, begin: time.Now()}
+	stop, worker := make(chan struct{}), make(chan struct{})
+	go func() { // a worker whose tasks end soon, and a user
+		defer close(worker)
+		for node, k := 0, 0; ; k++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			if k%3 == 0 {
+				_, _ = c.ask(1, http.MethodPost, wire.PathJobs, c.submission(fmt.Sprintf("j-%06d", k), 1), nil)
+			}
+			if c.report(node) != 200 {
+				node = (node + 1) % len(c.addrs)
+			}
+			for name, tr := range c.tasks {
+				tr.State, tr.Cause = wire.TaskExited, wire.CauseDone
+				c.tasks[name] = tr
+			}
+		}
+	}()
+	const clients, calls = 4, 60
+	var all sync.WaitGroup
+	for client := range clients {
+		all.Go(func() {
+			rnd := rand.New(rand.NewPCG(uint64(client), 34))
+			for k := range calls {
+				if rnd.IntN(2) == 0 {
+					o.get(client + k)
+				} else {
+					o.apply(client+k, []string{"x", "y"}[rnd.IntN(2)], fmt.Sprintf("%d.%d", client, k))
+				}
+				if client == 0 {
+					troubleConfig(c, k, calls)
+				}
+				time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
+			}
+		})
+	}
+	all.Wait()
+	c.svc.Mute(0)
+	c.svc.HoldBack(0)
+	c.svc.Arrive()
+	c.until("the last change is applied", func() bool { return o.apply(1, "y", "last") == peer.ConfigApplied })
+	seen.mu.Lock()
+	enough := max(20, len(seen.launches)+3)
+	seen.mu.Unlock()
+	c.until("jobs start again", func() bool {
+		seen.mu.Lock()
+		defer seen.mu.Unlock()
+		return len(seen.launches) >= enough
+	})
+	c.until("the last change is in force everywhere", func() bool {
+		for _, i := range []int{1, 2} {
+			a, err := c.nodes[i].PeerConfigStatus(context.Background(), &peer.ConfigStatus{})
+			if stored, _ := c.nodes[1].PeerConfigRead(context.Background(), &peer.ConfigRead{}); err != nil || a.Generation != stored.Generation {
+				return false
+			}
+		}
+		return true
+	})
+	close(stop)
+	<-worker
+	o.get(1)
+	o.get(2)
+	if len(seen.wrong) > 0 {
+		t.Errorf("launches were stored on a cordoned machine: %v", seen.wrong)
+	}
+	t.Log(len(o.history), "calls,", o.applied.Load(), "applied,", len(seen.launches), "launches")
+	if o.applied.Load() < 20 { // most of the calls are sent within no trouble
+		t.Errorf("too little happened: %d changes applied", o.applied.Load())
+	}
+	slices.SortFunc(o.history, func(a, b porcupine.Operation) int { return int(a.Call - b.Call) })
+	if !porcupine.CheckOperations(configModel.ToModel(), o.history) {
+		for _, op := range o.history {
+			t.Log(op.Call/1000, op.Return/1000, "us:", op.Input, "->", op.Output)
+		}
+		t.Error("no order of events explains what operators were told")
+	}
+}
+
+// troubleConfig does something bad to the cluster now and then.
+func troubleConfig(c *cluster, k, calls int) {
+	switch k % 12 {
+	case 2:
+		c.svc.Mute(1)
+	case 5:
+		c.svc.HoldBack(1)
+	case 10:
+		c.svc.Arrive()
+	}
+	switch k {
+	case calls / 3:
+		c.svc.SetDown(true)
+		time.Sleep(300 * time.Millisecond)
+		c.svc.SetDown(false)
+	case calls / 2:
+		c.stop[0]()
+	}
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -96,6 +96,9 @@
 	chunks   map[string]map[int]string
 	ledger   map[string]sched.Entry
 
+	config     configured
+	configNews []configNews
+
 	commit   *sched.Commit
 	commitAt int64
 	stored   bool // it was carried out, and the answer is on its way
@@ -104,27 +107,29 @@
 	lists    []list
 	hires    []hired
 
-	forgotten map[string]bool
-	zones     map[string]*cut
-	alone     bool                   // the leader is the only controller
-	faulty    map[*site.Machine]bool // every task fails on them
-	Log       func(...any)           // gets what the core logs, if set
-	Sound     bool                   // new machines don't fail every task
-	Lag       int64                  // how long a transaction takes at most
-	Link      int64                  // how long a report takes at most, beside what is held back
-	Copies    int                    // one report in so many arrives again later; 0: one in forty
-	Settled   bool                   // all troubles are over
-	Lose      func() bool            // whether the answer to a transaction that is carried out is late
-	Calm      bool                   // nothing is lost, delayed or failed but what a test lets fail
-	Most      int                    // machines of a type that the cloud has, half of them in each zone
-	Returned  int                    // machines given back while tasks ran on them
-	Lost      int                    // tasks that ran when their worker forgot them or their machine was given back
-	Runs      int                    // tasks started
-	Failed    int                    // of these, at once
-	Done      int                    // jobs done
-	Broken    []string
-	number    int // of the last job that a test has made up
-	seen      int // of the rules that the machines saw broken
+	forgotten    map[string]bool
+	zones        map[string]*cut
+	alone        bool                   // the leader is the only controller
+	faulty       map[*site.Machine]bool // every task fails on them
+	Log          func(...any)           // gets what the core logs, if set
+	Sound        bool                   // new machines don't fail every task
+	Lag          int64                  // how long a transaction takes at most
+	Link         int64                  // how long a report takes at most, beside what is held back
+	Copies       int                    // one report in so many arrives again later; 0: one in forty
+	Settled      bool                   // all troubles are over
+	Lose         func() bool            // whether the answer to a transaction that is carried out is late
+	Calm         bool                   // nothing is lost, delayed or failed but what a test lets fail
+	Most         int                    // machines of a type that the cloud has, half of them in each zone
+	Returned     int                    // machines given back while tasks ran on them
+	Lost         int                    // tasks that ran when their worker forgot them or their machine was given back
+	Runs         int                    // tasks started
+	Failed       int                    // of these, at once
+	Done         int                    // jobs done
+	Reconfigured int                    // generations of the configuration
+	Refused      int                    // batches that were decided by a generation no longer in force
+	Broken       []string
+	number       int // of the last job that a test has made up
+	seen         int // of the rules that the machines saw broken
 }
 
 // New returns a world with the given settings and catalog.
@@ -174,6 +179,8 @@
 			w.Log(fmt.Sprintf("%.3f s: %s", float64(w.Now)/1e6, msg), args)
 		}
 	})
+	w.configNews = nil
+	w.tell(c, w.config) // read with everything else
 	for _, id := range keys(w.jobs) {
 		c.AddJob(w.jobs[id], w.arrived[id], w.Now)
 	}
@@ -217,6 +224,11 @@
 			return false
 		}
 	}
+	if cm.Generation != w.config.version {
+		w.Refused++
+		return false
+	}
+	w.checkConfig(cm)
 	w.revision++
 	for _, e := range cm.Entries {
 		w.ledger[e.Name] = e.Entry
@@ -397,6 +409,7 @@
 func (w *World) leaderStep() {
 	c := w.Core
 	w.cloud()
+	w.configure(c)
 	for len(w.watch) > 0 && w.watch[0].at <= w.Now {
 		id := w.watch[0].id
 		w.watch = w.watch[1:]
@@ -420,6 +433,7 @@
 					c.Ended(id, w.ends[id], w.Now)
 				}
 			}
+			w.tell(c, w.config) // read to see which condition failed
 			c.Refused(cm, w.Now)
 		}
 	}
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -38,6 +38,9 @@
 	Fails   func(m *Machine, j *wire.Job, starts bool) bool
 	Refuses func() bool
 
+	// Begins, if set, is told of each task that starts. The fleet's lock is held.
+	Begins func(j *wire.Job, task int)
+
 	machines map[string]*Machine
 	ids      []string            // in the order of creation
 	hires    map[string][]string // answers to rental requests
@@ -292,12 +295,44 @@
 	}
 }
 
-// use is what tasks take.
-type use struct{ cpus, gpus float64 }
+// Use is what tasks take: processors and accelerators.
+type Use struct{ CPUs, GPUs float64 }
+
+// Plus is the use with one task more.
+func (u Use) Plus(cpus, gpus float64) Use { return Use{u.CPUs + cpus, u.GPUs + gpus} }
+
+// TeamUses is what the tasks on machines take, by team, those included that wait for their
+// image or their gang.
+func (f *Fleet) TeamUses() map[string]Use {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	uses := map[string]Use{}
+	for _, id := range f.ids {
+		m := f.machines[id]
+		for _, t := range m.tasks {
+			if !m.dead && t.state != wire.TaskExited {
+				uses[t.job.Team] = uses[t.job.Team].Plus(t.job.CPUs, t.job.GPUs)
+			}
+		}
+	}
+	return uses
+}
+
+// Has says whether some machine knows an attempt of a task.
+func (f *Fleet) Has(name string, attempt uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range f.ids {
+		if slices.ContainsFunc(f.machines[id].tasks, func(t *task) bool { return t.name == name && t.attempt == attempt }) {
+			return true
+		}
+	}
+	return false
+}
 
 // check looks at the rules that concern a moment.
 func (f *Fleet) check() {
-	uses := map[string]use{}
+	uses := map[string]Use{}
 	for _, id := range f.ids {
 		m := f.machines[id]
 		if m.dead {
@@ -312,13 +347,12 @@
 			if !t.runs() {
 				continue
 			}
-			u := uses[t.job.Team]
-			uses[t.job.Team] = use{u.cpus + t.job.CPUs, u.gpus + t.job.GPUs}
+			uses[t.job.Team] = uses[t.job.Team].Plus(t.job.CPUs, t.job.GPUs)
 		}
 	}
 	for _, t := range f.teams {
-		if u := uses[t.Name]; t.CPUsMax > 0 && u.cpus > t.CPUsMax+1e-6 || t.GPUsMax > 0 && u.gpus > t.GPUsMax+1e-6 {
-			f.rule("quota: %s uses %.1f CPUs and %.1f GPUs", t.Name, u.cpus, u.gpus)
+		if u := uses[t.Name]; t.CPUsMax > 0 && u.CPUs > t.CPUsMax+1e-6 || t.GPUsMax > 0 && u.GPUs > t.GPUsMax+1e-6 {
+			f.rule("quota: %s uses %.1f CPUs and %.1f GPUs", t.Name, u.CPUs, u.GPUs)
 		}
 	}
 }
@@ -446,7 +480,8 @@
 	}
 }
 
-// Fault does something bad to a machine: "die", "hang", "slow" or "recall". Without a
+// Fault does something bad to a machine: "die", "hang", "slow", "recall" or "restart" its
+// worker, which forgets its tasks and goes on with the next session. Without a
 // name it takes one at random that has tasks. It returns the machine's name. A "wave"
 // recalls all spot machines, of a zone if one is named, and returns how many.
 func (f *Fleet) Fault(kind, id string, d time.Duration) (string, error) {
@@ -487,8 +522,10 @@
 		m.speed /= 4
 	case "recall":
 		m.recall = f.now + d.Microseconds()
+	case "restart":
+		m.nextSession()
 	default:
-		return "", fmt.Errorf("%q is not one of die, hang, slow, recall", kind)
+		return "", fmt.Errorf("%q is not one of die, hang, slow, recall, restart", kind)
 	}
 	return id, nil
 }
--- a/internal/site/front.go
+++ b/internal/site/front.go
@@ -49,16 +49,17 @@
 }
 
 // Faults lists what Fault can do.
-var Faults = []string{"kill", "freeze", "outage", "die", "hang", "slow", "recall", "wave", "cut"}
+var Faults = []string{"kill", "freeze", "outage", "die", "hang", "slow", "recall", "wave", "restart", "cut"}
 
 // MachineFaults are those of them that concern machines only.
-var MachineFaults = []string{"die", "hang", "slow", "recall", "wave"}
+var MachineFaults = []string{"die", "hang", "slow", "recall", "wave", "restart"}
 
 // Fault does something bad to a running site: "kill" or "freeze" a controller (the
 // leader, unless one is named), an "outage" of the state service, a "cut" of a zone
 // from all others, the state service, the cloud and the users, a machine that is to
 // "die", "hang", be "slow" or be taken back ("recall", for spot machines), or a "wave":
-// all spot machines, or those of the zone that is named, are taken back at once. A
+// all spot machines, or those of the zone that is named, are taken back at once. "restart"
+// lets a machine's worker forget its tasks and begin anew. A
 // killed controller starts again after the time; what can end ends after it. It
 // returns what it was done to.
 func (s *Site) Fault(kind, name string, d time.Duration) (string, error) {
@@ -115,7 +116,7 @@
 		s.cuts.cut(name, true)
 		time.AfterFunc(d, func() { s.cuts.cut(name, false) })
 		return "zone " + name, nil
-	case "die", "hang", "slow", "recall", "wave":
+	case "die", "hang", "slow", "recall", "wave", "restart":
 		return s.Fleet.Fault(kind, name, d)
 	}
 	return "", fmt.Errorf("%q is not one of %v", kind, Faults)
--- a/internal/site/machine.go
+++ b/internal/site/machine.go
@@ -34,6 +34,7 @@
 	stepped             Micros
 	next, last          Micros // reports of a simulated worker
 	changed             bool   // something is worth a report
+	traffic             traffic
 }
 
 // task is one attempt on a machine.
@@ -98,6 +99,19 @@
 	return rate * max(60, float64(now-m.born)/1e6) / 3600
 }
 
+// nextSession lets the worker forget all its tasks, as when its lease has run out.
+func (m *Machine) nextSession() {
+	f := m.f
+	f.counts.Lost += m.running()
+	f.counts.Forgotten += m.running()
+	for _, t := range m.tasks {
+		t.leave()
+	}
+	m.tasks, m.fetches = nil, map[string]float64{}
+	m.session++
+	m.seq, m.renewed, m.changed = 0, f.now, true
+}
+
 // step lets time pass on the machine.
 func (m *Machine) step() {
 	f := m.f
@@ -114,14 +128,7 @@
 		return
 	}
 	if f.now-m.renewed > config.Micro(f.workers.LeaseS) {
-		f.counts.Lost += m.running()
-		f.counts.Forgotten += m.running()
-		for _, t := range m.tasks {
-			t.leave()
-		}
-		m.tasks, m.fetches = nil, map[string]float64{}
-		m.session++
-		m.seq, m.renewed, m.changed = 0, f.now, true
+		m.nextSession()
 	}
 	m.fetch(passed)
 	for _, t := range m.tasks {
@@ -210,6 +217,9 @@
 	if t.job.first == 0 {
 		t.job.first = f.now
 	}
+	if f.Begins != nil {
+		f.Begins(&t.job.Job, t.index)
+	}
 	t.from = t.job.saved[t.index]
 	switch {
 	case t.job.completed[t.index]: // the result is kept
--- a/internal/site/services.go
+++ b/internal/site/services.go
@@ -43,7 +43,9 @@
 	held     []txn
 	late     func() (time.Duration, bool)
 	lose     func(keys []string) bool
+	stored   func(key string, value []byte)
 	asked    int
+	meter    stateMeter
 	refused  []string // transactions that exceeded the limits, and how
 
 	kept       *keeper
@@ -145,6 +147,14 @@
 	s.lose = lose
 }
 
+// OnStored calls a function for each key that is written, in the order of the writes. It must
+// not call the services.
+func (s *Services) OnStored(f func(key string, value []byte)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stored = f
+}
+
 // AskedChanges counts the changes that were asked for, as the service counts them for its limit.
 func (s *Services) AskedChanges() int {
 	s.mu.Lock()
@@ -270,8 +280,16 @@
 	limit := s.Requests
 	if strings.HasPrefix(path, wire.PathRentals) || path == wire.PathReturn || path == wire.PathCatalog {
 		limit = s.Cloud
+		s.meter.cloud++
+	} else {
+		first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+		s.meter.count(first)
 	}
-	return s.down || limit == nil || limit.Allow()
+	if s.down || limit == nil || limit.Allow() {
+		return true
+	}
+	s.meter.refused++
+	return false
 }
 
 // ServeHTTP serves both services.
@@ -398,8 +416,12 @@
 		}
 	}
 	s.asked += len(t.Then)
+	s.meter.asked += int64(len(t.Then))
 	lost := s.lose != nil && len(t.Then) > 0 && s.lose(t.changes())
 	code, a := s.apply(&t)
+	if code == http.StatusConflict && len(t.Then) > 0 {
+		s.meter.conflicts++
+	}
 	if lost {
 		panic(http.ErrAbortHandler)
 	}
@@ -440,6 +462,9 @@
 		}
 		s.keys[c.Put] = wire.Entry{Key: c.Put, Value: c.Value, Version: s.revision, Lease: c.Lease}
 		s.dirty = append(s.dirty, c.Put)
+		if s.stored != nil {
+			s.stored(c.Put, c.Value)
+		}
 		s.emit(wire.Event{Put: c.Put, Value: c.Value, Version: s.revision})
 	}
 	a.Revision = s.revision
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -13,6 +13,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -352,6 +354,20 @@
 	return errInProcess
 }
 
+// Process is the number of a controller's process, 0 if it runs in this one.
+func (s *Site) Process(i int) int {
+	c := s.controllers[i]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd == nil || c.cmd.Process == nil {
+		return 0
+	}
+	return c.cmd.Process.Pid
+}
+
+// Settings is the file with a controller's settings.
+func (s *Site) Settings(i int) string { return s.controllers[i].settings }
+
 // Wait waits until a controller's process has ended, and says how.
 func (s *Site) Wait(i int) error {
 	c := s.controllers[i]
@@ -366,24 +382,32 @@
 
 // Leader returns the controller that shows itself as such, or -1.
 func (s *Site) Leader() int {
-	client := &http.Client{Timeout: time.Second, Transport: s.transport}
-	for i, c := range s.controllers {
-		resp, err := client.Get("http://" + c.addr + "/metrics")
-		if err != nil {
-			continue
-		}
-		found := false
-		for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
-			found = found || lines.Text() == "dalefront_overseer 1"
-		}
-		_ = resp.Body.Close()
-		if found {
+	for i := range s.controllers {
+		if m, err := s.Metrics(i); err == nil && m["dalefront_overseer"] == 1 {
 			return i
 		}
 	}
 	return -1
 }
 
+// Metrics reads the metrics without labels that a controller shows.
+func (s *Site) Metrics(i int) (map[string]float64, error) {
+	client := &http.Client{Timeout: time.Second, Transport: s.transport}
+	resp, err := client.Get("http://" + s.controllers[i].addr + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	out := map[string]float64{}
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			out[name] = v
+		}
+	}
+	return out, nil
+}
+
 // Down ends a site: its controllers in order, then the rest.
 func (s *Site) Down() error {
 	s.mu.Lock()
--- a/internal/site/waiting.go
+++ b/internal/site/waiting.go
@@ -33,13 +33,13 @@
 			}
 		}
 	}
-	begun, uses := map[*job]bool{}, map[string]use{}
+	begun, uses := map[*job]bool{}, map[string]Use{}
 	for _, m := range f.machines {
 		for _, t := range m.tasks {
 			if !m.dead && t.state != wire.TaskExited {
 				begun[t.job] = true
 				u := uses[t.job.Team]
-				uses[t.job.Team] = use{u.cpus + t.job.CPUs, u.gpus + t.job.GPUs}
+				uses[t.job.Team] = u.Plus(t.job.CPUs, t.job.GPUs)
 			}
 		}
 	}
@@ -53,7 +53,7 @@
 
 // leftWaiting says whether a job of which nothing is on any machine could have started for too
 // long: one of its tasks, or a whole gang, on machines that have had room all the time.
-func (f *Fleet) leftWaiting(j *job, begun bool, team use) bool {
+func (f *Fleet) leftWaiting(j *job, begun bool, team Use) bool {
 	if j.beside == nil {
 		j.beside = map[*Machine]Micros{}
 	}
@@ -70,7 +70,7 @@
 	over := false
 	for _, t := range f.teams {
 		n := float64(need)
-		over = over || t.Name == j.Team && (t.CPUsMax > 0 && team.cpus+n*j.CPUs > t.CPUsMax+tiny || t.GPUsMax > 0 && team.gpus+n*j.GPUs > t.GPUsMax+tiny)
+		over = over || t.Name == j.Team && (t.CPUsMax > 0 && team.CPUs+n*j.CPUs > t.CPUsMax+tiny || t.GPUsMax > 0 && team.GPUs+n*j.GPUs > t.GPUsMax+tiny)
 	}
 	if begun || missing == 0 || over {
 		clear(j.beside)
--- a/internal/site/worker.go
+++ b/internal/site/worker.go
@@ -33,9 +33,15 @@
 		return ""
 	}
 	w := &worker{s: s, m: m, at: rand.IntN(len(s.controllers)), client: &http.Client{Timeout: 4 * time.Second,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+		Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := workerDialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return countedConn{c, &m.traffic}, nil
+		}}}}
 	srv := &http.Server{Handler: w, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = srv.Serve(l) }()
+	go func() { _ = srv.Serve(countedListener{l, &m.traffic}) }()
 	ctx, cancel := context.WithCancel(s.ctx)
 	go func() {
 		defer cancel()
@@ -60,6 +66,7 @@
 	f := w.m.f
 	every := config.Micro(f.workers.ReportS)
 	var next, last Micros
+	retry := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -80,6 +87,8 @@
 			continue
 		}
 		last = now
+		w.m.traffic.reported(reportCause(now, next, retry))
+		retry = false
 		wait := time.Duration(0)
 		if !w.send(ctx) {
 			wait = time.Second
@@ -91,11 +100,22 @@
 				return
 			case <-time.After(wait):
 			}
-			next = 0
+			next, retry = 0, true
 		}
 	}
 }
 
+// reportCause says why a worker reports now, when its next report was due at next.
+func reportCause(now, next Micros, retry bool) string {
+	switch {
+	case retry:
+		return ReportRetry
+	case now >= next:
+		return ReportInterval
+	}
+	return ReportChange
+}
+
 // send reports once and says whether the worker may stay with its controller.
 func (w *worker) send(ctx context.Context) bool {
 	f := w.m.f
@@ -154,6 +174,7 @@
 // ServeHTTP takes direct commands.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
 	f := w.m.f
+	w.m.traffic.commands.Add(1)
 	// Who asks can't be told apart: while its zone is cut nobody gets through.
 	if !w.s.cuts.await(req.Context(), "", w.m.zone) {
 		panic(http.ErrAbortHandler)
