A scale run: a site at a given size on one machine, costs by role, slopes

A run that takes more than its share of the memory ends, one whose generator falls behind doesn't count.

--- a/cmd/dalefront/load.go
+++ b/cmd/dalefront/load.go
@@ -4,9 +4,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -48,7 +48,7 @@
 				return err
 			}
 			if dir != "" {
-				if err := write(dir, e, r); err != nil {
+				if err := writeLoad(dir, e, r); err != nil {
 					return err
 				}
 			}
@@ -59,20 +59,10 @@
 	return c
 }
 
-func write(dir string, e *load.Experiment, r *load.Report) error {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return err
-	}
-	file := func(name string, f func(*os.File) error) error {
-		out, err := os.Create(filepath.Join(dir, name))
-		if err != nil {
-			return err
-		}
-		return errors.Join(f(out), out.Close())
-	}
+func writeLoad(dir string, e *load.Experiment, r *load.Report) error {
 	return errors.Join(
-		file("report.html", func(out *os.File) error { return r.HTML(e, out) }),
-		file("report.json", func(out *os.File) error { return json.NewEncoder(out).Encode(r) }),
-		file("report.txt", func(out *os.File) error { return r.Table(out) }),
+		writeFile(dir, "report.html", func(out io.Writer) error { return r.HTML(e, out) }),
+		writeFile(dir, "report.json", func(out io.Writer) error { return json.NewEncoder(out).Encode(r) }),
+		writeFile(dir, "report.txt", r.Table),
 	)
 }
--- /dev/null
+++ b/cmd/dalefront/scale_test.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"dalefront/internal/scale"
+)
+
+// TestScale plays the small scale run with real controllers: no rule is broken, nothing that
+// the state service refuses as malformed is sent, every role is measured, and each change of
+// configuration is in force everywhere. How long things take is not judged: a busy machine
+// makes a run not count.
+func TestScale(t *testing.T) {
+	t.Parallel()
+	spec, err := scale.Load("../../deploy/examples/scale-small.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	spec.RampS = 240
+	r, err := scale.Run(t.Context(), spec, scale.Options{Dir: t.TempDir()})
+	if err != nil && !errors.Is(err, scale.ErrNotCounted) {
+		t.Fatal(err)
+	}
+	if len(r.Broken) > 0 || len(r.Malformed) > 0 {
+		t.Errorf("broken rules: %v, malformed transactions: %v", r.Broken, r.Malformed)
+	}
+	if len(r.Roles) != 4 || r.State.All == 0 || r.Worker.P50BS == 0 || r.StartsPerS == 0 {
+		t.Errorf("not everything was measured: %+v", r)
+	}
+	if c := r.Config; c == nil || c.Applied == 0 || c.Failed > 0 {
+		t.Errorf("configuration: %+v", c)
+	}
+	if len(r.Events) != 1 || r.Troubled.Times["takeover"].N != 1 {
+		t.Errorf("the kill: %v, %+v", r.Events, r.Troubled.Times["takeover"])
+	}
+	dir := t.TempDir()
+	if err := writeScale(dir, r); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "report.txt"))
+	if err != nil || !bytes.Contains(text, []byte("warm standby")) {
+		t.Errorf("the report: %s %v", text, err)
+	}
+}
--- a/cmd/dalefront/site.go
+++ b/cmd/dalefront/site.go
@@ -120,6 +120,7 @@
 		printSummary(cmd.OutOrStdout(), a.Summary)
 		return ruled(cmd.OutOrStdout(), a.Broken)
 	}}
+	root.AddCommand(scaleCommand(operator))
 	for _, c := range []*cobra.Command{fault, summary} {
 		c.Flags().StringVar(&server, "server", "http://127.0.0.1:8080", "the site's address for users")
 		root.AddCommand(c)
--- a/internal/sched/configure_test.go
+++ b/internal/sched/configure_test.go
@@ -123,13 +123,13 @@
 		first = b.Schedule(b.now)
 	}
 	if first == nil || first.next == nil || first.Generation != 40 {
-		t.Fatalf("the gang takes %+v", first)
+		t.Fatal("the gang does not take several transactions of the generation")
 	}
 	b.Committed(first, b.now)
 	b.configure(41, cordon(dynconfig.Cordon{Zone: "x"}))
 	second := b.Schedule(b.now)
 	if second == nil || second.Generation != 40 {
-		t.Fatalf("the second part carries another generation: %+v", second)
+		t.Fatal("the second part is missing or carries another generation")
 	}
 	b.Refused(second, b.now)
 	if cm := b.schedule(); cm != nil {
