Leader and lease for overseer and hold, in logs, metrics, texts and names

The wire keeps its field. The metric dalefront_overseer is dalefront_leader now, the log says 'acting as leader' and 'leader' where it said 'overseer'. No behaviour changes.

--- a/cmd/dalefront/handover.go
+++ b/cmd/dalefront/handover.go
@@ -16,7 +16,7 @@
 func handOverCommand(settings, operator *string) *cobra.Command {
 	var wait time.Duration
 	cmd := &cobra.Command{
-		Use: "handover", Short: "Let another controller become overseer; nothing that runs is stopped", Args: cobra.NoArgs,
+		Use: "handover", Short: "Let another controller become leader; nothing that runs is stopped", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if *settings == "" {
 				return fmt.Errorf("handover: --config is missing: the settings of any controller")
@@ -41,7 +41,7 @@
 			if err != nil {
 				return fmt.Errorf("handover: %w", err)
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "%s handed the term over: %s acts as overseer under token %d after %v\n", c.From, c.To, c.Token, c.Took.Round(time.Millisecond))
+			fmt.Fprintf(cmd.OutOrStdout(), "%s handed the term over: %s acts as leader under token %d after %v\n", c.From, c.To, c.Token, c.Took.Round(time.Millisecond))
 			return nil
 		},
 	}
--- a/cmd/dalefront/site.go
+++ b/cmd/dalefront/site.go
@@ -87,7 +87,7 @@
 		broken := s.Fleet.Broken()
 		return errors.Join(s.Down(), ruled(out, broken))
 	}}).Flags().StringVar(&o.Listen, "listen", "127.0.0.1:8080", "address for users")
-	flags(&cobra.Command{Use: "demo", Short: "Start a site, run the sample jobs, kill the overseer halfway, check the rules", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+	flags(&cobra.Command{Use: "demo", Short: "Start a site, run the sample jobs, kill the leader halfway, check the rules", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 		o.Listen = ""
 		out := cmd.OutOrStdout()
 		s, err := up(out, nil)
@@ -110,7 +110,7 @@
 			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: %s, %g s\n", args[0], what.Error, seconds)
 			return err
 		}}
-	fault.Flags().StringVar(&name, "name", "", "of the controller, machine or zone (default: the overseer, one with tasks, or the last zone)")
+	fault.Flags().StringVar(&name, "name", "", "of the controller, machine or zone (default: the leader, one with tasks, or the last zone)")
 	fault.Flags().Float64Var(&seconds, "for", 10, "seconds")
 	summary := &cobra.Command{Use: "summary", Short: "Show what has happened at a running site", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 		var a site.Summarized
@@ -240,7 +240,7 @@
 				return err
 			}
 			killed = true
-			fmt.Fprintf(out, "%4.1f s: killed the overseer, %s\n", time.Since(begun).Seconds(), what)
+			fmt.Fprintf(out, "%4.1f s: killed the leader, %s\n", time.Since(begun).Seconds(), what)
 		}
 		if time.Since(begun) > demoLimit {
 			return fmt.Errorf("not finished after %s; the logs are in %s", demoLimit, s.Dir)
--- a/cmd/dalefront/site_test.go
+++ b/cmd/dalefront/site_test.go
@@ -165,7 +165,7 @@
 		t.Helper()
 		until("accepted", func() bool { return submitSmall(jobs, id, 6, 1.5) == nil })
 	}
-	leader := func() { t.Helper(); until("an overseer", func() bool { return s.Leader() >= 0 }) }
+	leader := func() { t.Helper(); until("a leader", func() bool { return s.Leader() >= 0 }) }
 	submit("j-1")
 	leader()
 	if what, err := s.Fault("freeze", "", 4*time.Second); err != nil {
--- a/deploy/snapshot.hcl
+++ b/deploy/snapshot.hcl
@@ -7,7 +7,7 @@
 archive_after_s = 3600
 archive_share   = 0.1
 
-# The overseer writes a copy of the state each hour and keeps two. Relative to this file.
+# The leader writes a copy of the state each hour and keeps two. Relative to this file.
 snapshot_dir     = "../target/snapshots"
 snapshot_every_s = 3600
 
--- a/deploy/standby.hcl
+++ b/deploy/standby.hcl
@@ -3,6 +3,6 @@
 # default is one standby; 0 switches it off.
 standbys = 2
 
-# For how long an overseer whose connection broke must answer nobody before a standby
+# For how long a leader whose connection broke must answer nobody before a standby
 # replaces its term; 0 leaves it to the hold (term_s).
 suspect_s = 0.25
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -47,7 +47,7 @@
 func (n *Node) HandOver() {
 	n.post(func() {
 		if !n.handOver() {
-			n.log.Info("no term to hand over: this node is not the overseer")
+			n.log.Info("no term to hand over: this node is not the leader")
 		}
 	})
 }
--- a/internal/node/leadership.go
+++ b/internal/node/leadership.go
@@ -102,7 +102,7 @@
 	if !<-installed {
 		return
 	}
-	n.log.Info("acting as overseer", "token", token)
+	n.log.Info("acting as leader", "token", token)
 	for _, p := range n.peers {
 		go func() { _, _ = p.Hello(ctx, n.hello()) }()
 	}
@@ -425,7 +425,7 @@
 	if now-r.lastLog > 10_000_000 {
 		r.lastLog = now
 		jobs, tasks := r.core.Waiting()
-		n.log.Info("overseer", "waiting_jobs", jobs, "waiting_tasks", tasks, "stats", fmt.Sprintf("%+v", r.core.Stats))
+		n.log.Info("leader", "waiting_jobs", jobs, "waiting_tasks", tasks, "stats", fmt.Sprintf("%+v", r.core.Stats))
 		n.log.Info("work", n.work.take()...)
 		classes, types := r.core.Uses()
 		for _, u := range classes {
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -230,7 +230,6 @@
 	schedule []wire.Entry
 	config   []wire.Entry // of a copy; otherwise it was read already
 	ends     []storedEnd
-	stray    []string // keys that are of no use
 	revision uint64
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -35,7 +35,7 @@
 	}
 	add("waiting_jobs", "Jobs with tasks that wait for room.", func(s *gauges) int { return s.jobs })
 	add("waiting_tasks", "Tasks that wait for room.", func(s *gauges) int { return s.tasks })
-	add("machines", "Machines known to the overseer.", func(s *gauges) int { return s.machines })
+	add("machines", "Machines known to the leader.", func(s *gauges) int { return s.machines })
 	add("machines_up", "Machines whose workers have confirmed this term.", func(s *gauges) int { return s.up })
 	add("launches", "Launches stored in this term.", func(s *gauges) int { return s.stats.Launches })
 	add("evictions", "Tasks told to make way in this term.", func(s *gauges) int { return s.stats.Evictions })
@@ -77,7 +77,7 @@
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "standby", Help: "1 while this node stands by warm with a copy that is good."}, func() float64 {
 		return one(n.warm.ready())
 	}))
-	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "wrong_suspicions", Help: "Overseers whose term this node replaced though their process had not ended."}, func() float64 {
+	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "wrong_suspicions", Help: "Leaders whose term this node replaced though their process had not ended."}, func() float64 {
 		n.warm.mu.Lock()
 		defer n.warm.mu.Unlock()
 		return float64(n.warm.suspicion.WrongOnes())
@@ -96,7 +96,7 @@
 		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: name, Help: x.help}, x.read))
 	}
 	reg.MustRegister(shares{n})
-	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "overseer", Help: "1 while this node acts as overseer."}, func() float64 {
+	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "dalefront", Name: "leader", Help: "1 while this node acts as leader."}, func() float64 {
 		_, _, leading := n.view()
 		return one(leading != 0)
 	}))
--- a/internal/node/standby.go
+++ b/internal/node/standby.go
@@ -293,7 +293,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	f := standby.Facts{Token: token, Highest: highest, Revision: c.Revision(), Doubt: c.Doubt(), Compared: compared, Keys: sample.Keys,
-		Awake: n.awake(), Reached: n.state.Reachable(time.Second), Hold: !h.dead.Load()}
+		Awake: n.awake(), Reached: n.state.Reachable(time.Second), Lease: !h.dead.Load()}
 	if ok, why := standby.Passes(&f); !ok {
 		return nil, why
 	}
@@ -451,7 +451,7 @@
 		}
 		w.mu.Unlock()
 		if enough {
-			n.log.Info("the overseer's process is taken for ended", "node", leader, "token", token, "another_process", another)
+			n.log.Info("the leader's process is taken for ended", "node", leader, "token", token, "another_process", another)
 			return true
 		}
 	}
@@ -503,7 +503,7 @@
 	if born != 0 && w.replaced == (process{label, born}) {
 		w.replaced = process{}
 		w.suspicion.Wrong()
-		w.n.log.Warn("the overseer's process had not ended", "node", label)
+		w.n.log.Warn("the leader's process had not ended", "node", label)
 	}
 }
 
--- a/internal/node/standstill_test.go
+++ b/internal/node/standstill_test.go
@@ -79,7 +79,7 @@
 	now := time.Now()
 	n.peerAt = map[string]time.Time{"a": now, "b": now, "d": now.Add(-time.Minute), "e": now}
 	if to := n.another("e"); to != "a" {
-		t.Errorf("sent to %q past the silent d and the overseer e", to)
+		t.Errorf("sent to %q past the silent d and the leader e", to)
 	}
 	if to := n.another("a"); to != "e" {
 		t.Errorf("sent to %q, not to the next that is alive", to)
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -22,7 +22,7 @@
 	Configures bool `msgpack:"C,omitempty"`
 }
 
-// hold is a lease of the state service, renewed in the background.
+// lease is a lease of the state service, renewed in the background.
 type lease struct {
 	id   uint64
 	dead atomic.Bool
@@ -30,7 +30,7 @@
 
 // keepLease opens a lease and renews it until it ends for certain.
 func (n *Node) keepLease(ctx context.Context, ttl time.Duration) (*lease, error) {
-	id, err := n.state.Hold(ctx, ttl)
+	id, err := n.state.OpenLease(ctx, ttl)
 	if err != nil {
 		return nil, err
 	}
@@ -42,7 +42,7 @@
 				return
 			case <-time.After(ttl / 4):
 			}
-			if err := n.state.Touch(ctx, id); errors.Is(err, state.ErrNoLease) {
+			if err := n.state.RenewLease(ctx, id); errors.Is(err, state.ErrNoLease) {
 				h.dead.Store(true)
 			}
 		}
@@ -137,7 +137,7 @@
 		n.log.Info("term taken", "node", n.set.Label, "token", token, "replaced", left)
 		n.lead(ctx, token, h)
 		h.dead.Store(true) // a term's lease is not used again
-		_ = n.state.Release(ctx, h.id)
+		_ = n.state.EndLease(ctx, h.id)
 		if n.resigned(token) {
 			rest(ctx, 15*time.Second)
 		}
--- a/internal/peer/handover.go
+++ b/internal/peer/handover.go
@@ -35,7 +35,7 @@
 
 var (
 	// ErrNoLeader means that no controller in reach acts as leader.
-	ErrNoLeader = errors.New("no controller in reach acts as overseer")
+	ErrNoLeader = errors.New("no controller in reach acts as leader")
 	// ErrAlone means that no other controller answers who could take over.
 	ErrAlone = errors.New("no other controller answers")
 	// ErrNobody means that the leader has given its term up and nobody acts yet.
--- a/internal/sched/ledger_test.go
+++ b/internal/sched/ledger_test.go
@@ -306,7 +306,7 @@
 	next.Remember(l)
 	got := next.classOf(cl.name)
 	if got.ratio != 1.7 || next.bwWrite != 0.3 || got.size != 40 {
-		t.Errorf("the next overseer knows %+v, bandwidth %v", got, next.bwWrite)
+		t.Errorf("the next leader knows %+v, bandwidth %v", got, next.bwWrite)
 	}
 	if got.arrivals < 14 || got.arrivals > 15 { // 40 / e
 		t.Errorf("%v arrivals are remembered after the time in which they fade to a third", got.arrivals)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -315,7 +315,7 @@
 		}
 	}
 	if pushed == 0 {
-		t.Error("the token was not sent to a worker that an older overseer may keep")
+		t.Error("the token was not sent to a worker that an older leader may keep")
 	}
 	back := b.Returns(b.now, false)
 	if !slices.Contains(back, "n-1") {
--- a/internal/sim/answers_test.go
+++ b/internal/sim/answers_test.go
@@ -278,7 +278,7 @@
 	lease := uint64(0)
 	c.until("the term names a lease", func() bool { e, ok := c.svc.Entry("term"); lease = e.Lease; return ok })
 	c.until("it acts", func() bool { return c.report(0) == 200 })
-	if !c.svc.Holds(lease) {
+	if !c.svc.HasLease(lease) {
 		t.Error("it acts only once the lease of its first try had run out")
 	}
 }
--- a/internal/sim/following_bench_test.go
+++ b/internal/sim/following_bench_test.go
@@ -55,7 +55,7 @@
 		b.Cleanup(front.Close)
 		s.Endpoints.State = front.Listener.Addr().String()
 	})
-	c.until("an overseer", func() bool { return c.leader(0) || c.leader(1) || c.leader(2) })
+	c.until("a leader", func() bool { return c.leader(0) || c.leader(1) || c.leader(2) })
 	submit := func(id int) {
 		c.until("accepted", func() bool {
 			code, _ := c.ask(id%3, http.MethodPost, wire.PathJobs, c.submission(fmt.Sprint("j-", id), 2), nil)
--- a/internal/sim/hammer_test.go
+++ b/internal/sim/hammer_test.go
@@ -18,7 +18,7 @@
 // that report to three nodes, two of which relay to the leader.
 func BenchmarkReports(b *testing.B) {
 	c := newCluster(b, 3, func(s *config.Settings) { s.Deployment.Resources.Sockets = 2000 })
-	c.until("an overseer", func() bool { return c.leader(0) || c.leader(1) || c.leader(2) })
+	c.until("a leader", func() bool { return c.leader(0) || c.leader(1) || c.leader(2) })
 	tr := &http.Transport{MaxIdleConnsPerHost: 400}
 	client := &http.Client{Transport: tr}
 	var n atomic.Int64
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -211,7 +211,7 @@
 // begin has a job's task running, and returns the leader, which its machine reports to.
 func (m *meet) begin() (chief int) {
 	m.t.Helper()
-	m.until("an overseer", func() bool { return m.report(0) == 200 })
+	m.until("a leader", func() bool { return m.report(0) == 200 })
 	m.until("accepted", func() bool {
 		code, _ := m.ask(0, http.MethodPost, wire.PathJobs, m.submission("j-1", 1), nil)
 		return code == 200 || code == 201
@@ -325,7 +325,7 @@
 // to clear it, and the next leader started tasks that were done.
 func TestLateProgressTakesNothingBack(t *testing.T) {
 	c := newCluster(t, 1, func(*config.Settings) {})
-	c.until("an overseer", func() bool { return c.report(0) == 200 })
+	c.until("a leader", func() bool { return c.report(0) == 200 })
 	c.until("accepted", func() bool {
 		code, _ := c.ask(0, http.MethodPost, wire.PathJobs, c.submission("j-1", 3), nil)
 		return code == 200 || code == 201
--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -176,7 +176,7 @@
 
 // leader says whether a node shows itself as such.
 func (c *cluster) leader(i int) bool {
-	return c.shows(i, "dalefront_overseer 1")
+	return c.shows(i, "dalefront_leader 1")
 }
 
 func body(resp *http.Response) string {
@@ -245,15 +245,15 @@
 		}
 	}
 	if len(c.addrs) != size-1 {
-		t.Fatal("no node showed itself as overseer")
+		t.Fatal("no node showed itself as leader")
 	}
 	// The leader died within the outage: its peers renew under its grant.
-	c.until("a lease is renewed without an overseer", func() bool { return c.report(0) == 200 })
+	c.until("a lease is renewed without a leader", func() bool { return c.report(0) == 200 })
 	if c.token != before || len(c.tasks) != 2 {
 		t.Errorf("under the grant the token went from %d to %d, tasks %v", before, c.token, c.tasks)
 	}
 	c.svc.SetDown(false)
-	c.until("another overseer", func() bool { c.report(0); return c.token > before })
+	c.until("another leader", func() bool { c.report(0); return c.token > before })
 	for i := 0; i < 3; i++ {
 		c.report(1)
 	}
@@ -305,7 +305,7 @@
 // archive. The watch rests between two openings, so that most of these come too late.
 func TestCancelledBeforeSeen(t *testing.T) {
 	c := newCluster(t, 1, func(s *config.Settings) { s.Deployment.State.RPS = 60 })
-	c.until("an overseer", func() bool { return c.leader(0) })
+	c.until("a leader", func() bool { return c.leader(0) })
 	for i := range 12 {
 		id := fmt.Sprintf("j-%d", i)
 		c.until("accepted", func() bool {
@@ -326,7 +326,7 @@
 // once the service is back its task is stopped, and then the user is told. The other task is kept.
 func TestNobodyIsToldWhileACancelledTaskRuns(t *testing.T) {
 	c := newCluster(t, 3, func(*config.Settings) {})
-	c.until("an overseer", func() bool { return c.report(0) == 200 })
+	c.until("a leader", func() bool { return c.report(0) == 200 })
 	for _, id := range []string{"j-1", "j-2"} {
 		c.until("accepted", func() bool {
 			code, _ := c.ask(0, http.MethodPost, wire.PathJobs, c.submission(id, 1), nil)
@@ -379,7 +379,7 @@
 		c.until("healthy", func() bool { code, _ := c.ask(i, http.MethodGet, wire.PathHealth, nil, nil); return code == 200 })
 	}
 	chief := -1
-	c.until("an overseer", func() bool {
+	c.until("a leader", func() bool {
 		for i := range c.addrs {
 			if c.leader(i) {
 				chief = i
@@ -419,7 +419,7 @@
 	c.until("the node has ended", func() bool { code, _ := c.ask(chief, http.MethodGet, wire.PathHealth, nil, nil); return code == 0 })
 	close(stop)
 	all.Wait()
-	c.until("another overseer acts", func() bool { return c.report((chief+1)%3) == 200 })
+	c.until("another leader acts", func() bool { return c.report((chief+1)%3) == 200 })
 }
 
 // TestSchedules runs three nodes with a schedule that missed its run an hour ago: it
--- a/internal/sim/restart_test.go
+++ b/internal/sim/restart_test.go
@@ -80,7 +80,7 @@
 	for seed := uint64(1); seed <= 3; seed++ {
 		c := &troubled{cluster: newCluster(t, 3, func(*config.Settings) {}), rng: rand.New(rand.NewPCG(seed, 22)),
 			terms: map[uint64]bool{}, ended: map[string]bool{}}
-		c.until("an overseer", func() bool { c.step(); return c.token > 0 })
+		c.until("a leader", func() bool { c.step(); return c.token > 0 })
 		for round := range 10 {
 			id := fmt.Sprintf("j-%d", round+1)
 			c.until("accepted", func() bool {
--- a/internal/sim/takeover_bench_test.go
+++ b/internal/sim/takeover_bench_test.go
@@ -125,7 +125,7 @@
 		s.Deployment.Resources.Sockets = 6000
 		s.Deployment.Teams[1].CPUsMax = 0
 	})
-	c.until("an overseer", func() bool { return c.leader(0) || c.leader(1) || c.leader(2) })
+	c.until("a leader", func() bool { return c.leader(0) || c.leader(1) || c.leader(2) })
 	k := newCrew(c, machines)
 	defer func() { k.stop.Store(true); k.all.Wait() }()
 	for i := range 1 + b.N*machines/2000 { // more than all machines get through: one task each at a time
--- a/internal/sim/warm_test.go
+++ b/internal/sim/warm_test.go
@@ -41,7 +41,7 @@
 // and goes on with what was there.
 func TestWarmStandbyTakesOver(t *testing.T) {
 	c := newCluster(t, 3, func(s *config.Settings) { *s.Operator.TermS = 30 }) // nobody waits for that
-	c.until("an overseer", func() bool { return c.report(0) == 200 })
+	c.until("a leader", func() bool { return c.report(0) == 200 })
 	c.until("accepted", func() bool {
 		code, _ := c.ask(1, http.MethodPost, wire.PathJobs, c.submission("j-1", 2), nil)
 		return code == 200 || code == 201
@@ -56,7 +56,7 @@
 		}
 	}
 	if stands == chief {
-		t.Fatal("the overseer stands by for itself")
+		t.Fatal("the leader stands by for itself")
 	}
 	before := c.token
 	time.Sleep(1200 * time.Millisecond) // it has said hello as leader
@@ -71,7 +71,7 @@
 		t.Errorf("the tasks did not survive: %v", c.tasks)
 	}
 	c.until("somebody else stands by", func() bool { c.report(third); s := c.standby(); return s >= 0 && s != stands })
-	c.until("the overseer says so", func() bool { return c.leader(stands) })
+	c.until("the leader says so", func() bool { return c.leader(stands) })
 	c.nodes[third].HandOver() // it is not the leader: nothing happens
 	c.nodes[stands].HandOver()
 	c.until("the other one acts", func() bool { return c.leader(third) })
@@ -83,7 +83,7 @@
 // takes over too, and they reach it through the third.
 func TestStandbyCutFromItsPeers(t *testing.T) {
 	m := newMeet(t, 40, 3)
-	m.until("an overseer", func() bool { return m.report(0) == 200 })
+	m.until("a leader", func() bool { return m.report(0) == 200 })
 	stands, chief := -1, -1
 	m.until("one stands by", func() bool {
 		m.report(0)
@@ -117,7 +117,7 @@
 // nobody to change with, nothing happens.
 func TestChangeLeader(t *testing.T) {
 	c := newCluster(t, 3, func(*config.Settings) {})
-	c.until("an overseer", func() bool { return c.report(0) == 200 })
+	c.until("a leader", func() bool { return c.report(0) == 200 })
 	var mesh []string
 	for _, s := range c.sets {
 		mesh = append(mesh, s.MeshAddr)
@@ -130,7 +130,7 @@
 		t.Errorf("with nobody else: %v", err)
 	}
 	if _, err := peer.ChangeLeader(ctx, []string{mesh[(chief+1)%3], mesh[(chief+2)%3]}); !errors.Is(err, peer.ErrNoLeader) {
-		t.Errorf("without the overseer: %v", err)
+		t.Errorf("without the leader: %v", err)
 	}
 	before := c.token
 	did, err := peer.ChangeLeader(ctx, mesh)
@@ -157,7 +157,7 @@
 		const nodes = 5
 		c := &troubled{cluster: newCluster(t, nodes, func(s *config.Settings) { *s.Operator.Standbys = 2 }), rng: rand.New(rand.NewPCG(seed, 24)),
 			terms: map[uint64]bool{}, ended: map[string]bool{}}
-		c.until("an overseer", func() bool { c.step(); return c.token > 0 })
+		c.until("a leader", func() bool { c.step(); return c.token > 0 })
 		c.until("one stands by", func() bool { c.step(); return c.standby() >= 0 })
 		for round := range 8 {
 			id := fmt.Sprintf("j-%d", round+1)
--- a/internal/site/front.go
+++ b/internal/site/front.go
@@ -79,7 +79,7 @@
 			}
 		}
 		if i < 0 || name != "" && s.controllers[i].label != name {
-			return "", fmt.Errorf("there is no such controller, and no overseer now")
+			return "", fmt.Errorf("there is no such controller, and no leader now")
 		}
 		if kind == "freeze" {
 			time.AfterFunc(d, func() { _ = s.Signal(i, syscall.SIGCONT) })
--- a/internal/site/keep.go
+++ b/internal/site/keep.go
@@ -116,7 +116,7 @@
 		err := tx.Bucket(bucketHolds).ForEach(func(id, ttl []byte) error {
 			n := number(id)
 			s.ttl[n] = time.Duration(number(ttl))
-			s.holds[n] = time.Now().Add(s.ttl[n])
+			s.leases[n] = time.Now().Add(s.ttl[n])
 			return nil
 		})
 		return errors.Join(err, tx.Bucket(bucketKeys).ForEach(func(key, b []byte) error {
@@ -130,8 +130,8 @@
 
 // flush writes what has changed since the last one. The lock is held.
 func (s *Services) flush() {
-	defer func() { s.dirty, s.dirtyHolds = s.dirty[:0], s.dirtyHolds[:0] }()
-	if len(s.dirty) == 0 && len(s.dirtyHolds) == 0 {
+	defer func() { s.dirty, s.dirtyLeases = s.dirty[:0], s.dirtyLeases[:0] }()
+	if len(s.dirty) == 0 && len(s.dirtyLeases) == 0 {
 		return
 	}
 	s.kept.write(func(tx *bbolt.Tx) error {
@@ -144,7 +144,7 @@
 				err = errors.Join(err, tx.Bucket(bucketKeys).Delete([]byte(key)))
 			}
 		}
-		for _, id := range s.dirtyHolds {
+		for _, id := range s.dirtyLeases {
 			if ttl, ok := s.ttl[id]; ok {
 				err = errors.Join(err, tx.Bucket(bucketHolds).Put(text(id), text(uint64(ttl))))
 			} else {
--- a/internal/site/services.go
+++ b/internal/site/services.go
@@ -31,7 +31,7 @@
 	mu       sync.Mutex
 	revision uint64
 	keys     map[string]wire.Entry
-	holds    map[uint64]time.Time
+	leases   map[uint64]time.Time
 	ttl      map[uint64]time.Duration
 	lease    uint64
 	changed  chan struct{}
@@ -48,10 +48,10 @@
 	meter    stateMeter
 	refused  []string // transactions that exceeded the limits, and how
 
-	kept       *keeper
-	dirty      []string // keys that have changed and are not kept yet
-	dirtyHolds []uint64
-	forgot     uint64 // changes up to this revision were forgotten at a restart
+	kept        *keeper
+	dirty       []string // keys that have changed and are not kept yet
+	dirtyLeases []uint64
+	forgot      uint64 // changes up to this revision were forgotten at a restart
 }
 
 // txn is a transaction as the service reads it.
@@ -83,7 +83,7 @@
 
 // NewServices returns empty services.
 func NewServices(cat wire.Catalog) *Services {
-	return &Services{Catalog: cat, keys: map[string]wire.Entry{}, holds: map[uint64]time.Time{}, ttl: map[uint64]time.Duration{}, changed: make(chan struct{})}
+	return &Services{Catalog: cat, keys: map[string]wire.Entry{}, leases: map[uint64]time.Time{}, ttl: map[uint64]time.Duration{}, changed: make(chan struct{})}
 }
 
 // SetFleet gives the cloud its machines.
@@ -99,7 +99,7 @@
 	defer s.mu.Unlock()
 	s.down = down
 	for id, ttl := range s.ttl { // after an outage every lease has its full time again
-		s.holds[id] = time.Now().Add(ttl)
+		s.leases[id] = time.Now().Add(ttl)
 	}
 }
 
@@ -162,11 +162,11 @@
 	return s.asked
 }
 
-// Holds says whether a lease has not ended.
-func (s *Services) Holds(lease uint64) bool {
+// HasLease says whether a lease has not ended.
+func (s *Services) HasLease(lease uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.holds[lease]
+	_, ok := s.leases[lease]
 	return ok
 }
 
@@ -237,12 +237,12 @@
 	return err == nil && wire.Unmarshal(b, v) == nil
 }
 
-// expire removes the keys of holds that ended. The lock is held.
+// expire removes the keys of leases that ended. The lock is held.
 func (s *Services) expire() {
 	if s.down {
 		return
 	}
-	for id, at := range s.holds {
+	for id, at := range s.leases {
 		if time.Now().After(at) {
 			s.release(id)
 		}
@@ -250,9 +250,9 @@
 }
 
 func (s *Services) release(id uint64) {
-	delete(s.holds, id)
+	delete(s.leases, id)
 	delete(s.ttl, id)
-	s.dirtyHolds = append(s.dirtyHolds, id)
+	s.dirtyLeases = append(s.dirtyLeases, id)
 	for k, e := range s.keys {
 		if e.Lease == id {
 			s.revision++
@@ -330,20 +330,20 @@
 		}
 		s.lease++
 		s.ttl[s.lease] = time.Duration(l.TTLMs) * time.Millisecond
-		s.holds[s.lease] = time.Now().Add(s.ttl[s.lease])
-		s.dirtyHolds = append(s.dirtyHolds, s.lease)
+		s.leases[s.lease] = time.Now().Add(s.ttl[s.lease])
+		s.dirtyLeases = append(s.dirtyLeases, s.lease)
 		respond(w, 200, wire.Lease{ID: s.lease})
 	case strings.HasPrefix(p, "/holds/"):
 		num, _, _ := strings.Cut(strings.TrimPrefix(p, "/holds/"), "/")
 		id, _ := strconv.ParseUint(num, 10, 64)
-		if _, ok := s.holds[id]; !ok {
+		if _, ok := s.leases[id]; !ok {
 			respond(w, 404, nil)
 			return
 		}
 		if r.Method == http.MethodDelete {
 			s.release(id)
 		} else {
-			s.holds[id] = time.Now().Add(s.ttl[id])
+			s.leases[id] = time.Now().Add(s.ttl[id])
 		}
 		respond(w, 200, nil)
 	case p == "/multi":
@@ -448,7 +448,7 @@
 		return 409, a
 	}
 	for _, c := range t.Then {
-		if _, ok := s.holds[c.Lease]; c.Lease != 0 && !ok {
+		if _, ok := s.leases[c.Lease]; c.Lease != 0 && !ok {
 			return 400, a
 		}
 	}
@@ -503,7 +503,7 @@
 			over = true
 		case <-r.Context().Done():
 			over = true
-		case <-time.After(100 * time.Millisecond): // holds may have ended
+		case <-time.After(100 * time.Millisecond): // leases may have ended
 		}
 		s.mu.Lock()
 		s.expire()
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -383,7 +383,7 @@
 // Leader returns the controller that shows itself as such, or -1.
 func (s *Site) Leader() int {
 	for i := range s.controllers {
-		if m, err := s.Metrics(i); err == nil && m["dalefront_overseer"] == 1 {
+		if m, err := s.Metrics(i); err == nil && m["dalefront_leader"] == 1 {
 			return i
 		}
 	}
--- a/internal/standby/checks.go
+++ b/internal/standby/checks.go
@@ -13,7 +13,7 @@
 	Keys     int    // that the copy has where the sample was taken
 	Awake    bool   // the process did not stand still lately
 	Reached  bool   // the store has answered this node since the term was taken
-	Hold     bool   // the term's hold is kept
+	Lease    bool   // the lease of the term is kept
 }
 
 // Check is something that must hold before the first decision on a copy.
@@ -33,9 +33,9 @@
 // revision come with the watch, and a launch is stored only if its job has none; nothing
 // makes way for others before most machines are known.
 var Checks = []Check{
-	{"term kept", "a node that has lost its hold may not act at all", func(f *Facts) string {
-		if !f.Hold {
-			return "the hold has ended"
+	{"term kept", "a node that has lost its lease may not act at all", func(f *Facts) string {
+		if !f.Lease {
+			return "the lease has ended"
 		}
 		return ""
 	}},
@@ -57,7 +57,7 @@
 		}
 		return ""
 	}},
-	{"revision of the term", "all that earlier overseers have written has a lower one: their transactions are conditional on their terms, so what is not in the copy by then never will be", func(f *Facts) string {
+	{"revision of the term", "all that earlier leaders have written has a lower one: their transactions are conditional on their terms, so what is not in the copy by then never will be", func(f *Facts) string {
 		if f.Revision < f.Token {
 			return fmt.Sprintf("revision %d is before %d", f.Revision, f.Token)
 		}
--- a/internal/standby/copy.go
+++ b/internal/standby/copy.go
@@ -1,6 +1,6 @@
 // Package standby is what a controller needs that stands by warm: who stands by, in which
 // order (View); the copy of the stored state that it follows (Copy); when it may take an
-// leader for ended without waiting for its hold (Suspicion); and what it must check
+// leader for ended without waiting for its lease (Suspicion); and what it must check
 // before its first decision (Checks). It is pure: what was read and the time go in.
 //
 // docs/standby.md argues why each of these is safe.
--- a/internal/standby/standby_test.go
+++ b/internal/standby/standby_test.go
@@ -131,12 +131,12 @@
 
 // Each check fails by itself on what it is for, so that none can be left out.
 func TestEachCheckIsNeeded(t *testing.T) {
-	good := Facts{Token: 40, Highest: 40, Revision: 41, Compared: 7, Keys: 9, Awake: true, Reached: true, Hold: true}
+	good := Facts{Token: 40, Highest: 40, Revision: 41, Compared: 7, Keys: 9, Awake: true, Reached: true, Lease: true}
 	if ok, why := Passes(&good); !ok {
 		t.Fatal(why)
 	}
 	bad := map[string]func(*Facts){
-		"term kept":            func(f *Facts) { f.Hold = false },
+		"term kept":            func(f *Facts) { f.Lease = false },
 		"awake":                func(f *Facts) { f.Awake = false },
 		"store reached":        func(f *Facts) { f.Reached = false },
 		"highest token":        func(f *Facts) { f.Highest = 41 },
--- a/internal/standby/suspicion.go
+++ b/internal/standby/suspicion.go
@@ -1,7 +1,7 @@
 package standby
 
 // Suspicion says when a standby may take the leader's process for ended without waiting
-// for its hold to run out. It is never proof: the term is replaced by a transaction
+// for its lease to run out. It is never proof: the term is replaced by a transaction
 // conditional on its version, which fences every write of the old leader, and what that
 // one still says is as harmless as after any takeover (docs/standby.md). A wrong suspicion
 // costs a change of leader, so it takes evidence from two sides and is bounded in how
@@ -13,7 +13,7 @@
 // without sockets refuse, and so do packet filters between nodes, but then the others are
 // refused as well, and can't be asked. Or: the leader's node answers as another process
 // than the one that took the term. A node that is silent, hangs or stands still breaks no
-// connection; for that there is the hold.
+// connection; for that there is the lease.
 type Suspicion struct {
 	Nodes int    // controllers in all, this one included
 	Wait  Micros // for how long the leader must not answer
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -185,15 +185,15 @@
 	return a, err
 }
 
-// Hold opens a lease.
-func (c *Client) Hold(ctx context.Context, ttl time.Duration) (uint64, error) {
+// OpenLease opens a lease.
+func (c *Client) OpenLease(ctx context.Context, ttl time.Duration) (uint64, error) {
 	var l wire.Lease
 	err := c.call(ctx, http.MethodPost, "/holds", map[string]int64{"LifeMs": ttl.Milliseconds()}, &l)
 	return l.ID, err
 }
 
-// Touch renews a lease. It is urgent: it never queues behind other requests.
-func (c *Client) Touch(ctx context.Context, id uint64) error {
+// RenewLease renews a lease. It is urgent: it never queues behind other requests.
+func (c *Client) RenewLease(ctx context.Context, id uint64) error {
 	err := c.try(Urgent(ctx), time.Second, c.reads, http.MethodPost, fmt.Sprintf("/holds/%d/touch", id), struct{}{}, nil)
 	if httpc.Code(err) == http.StatusNotFound {
 		return ErrNoLease
@@ -201,8 +201,8 @@
 	return err
 }
 
-// Release ends a lease at once.
-func (c *Client) Release(ctx context.Context, id uint64) error {
+// EndLease ends a lease at once.
+func (c *Client) EndLease(ctx context.Context, id uint64) error {
 	return c.call(ctx, http.MethodDelete, fmt.Sprintf("/holds/%d", id), nil, nil)
 }
 
--- a/wire/state.go
+++ b/wire/state.go
@@ -46,7 +46,7 @@
 	Failed   []string `msgpack:"failed,omitempty"`
 }
 
-// Lease is the grant of a hold.
+// Lease is a lease of the state service.
 type Lease struct {
 	ID    uint64 `msgpack:"Tenancy"`
 	TTLMs int64  `msgpack:"LifeMs,omitempty"`
