--- a/internal/node/flap_test.go
+++ b/internal/node/flap_test.go
@@ -17,7 +17,6 @@
 	term  *wire.Entry
 	rev   uint64
 	holds uint64
-	txns  []wire.Txn
 }
 
 func (s *store) serve(w http.ResponseWriter, r *http.Request) {
