--- a/internal/dynconfig/file.go
+++ b/internal/dynconfig/file.go
@@ -8,10 +8,9 @@
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclparse"
 
 	"dalefront/internal/config"
-	"dalefront/internal/hclerr"
+	"dalefront/internal/hclfile"
 )
 
 // file is what an operator writes.
@@ -65,13 +64,9 @@
 
 // ParseFile reads changes from text; the name is for errors.
 func ParseFile(text []byte, name string, set *config.Settings) ([]Change, error) {
-	parsed, diags := hclparse.NewParser().ParseHCL(text, name)
 	var f file
-	if !diags.HasErrors() {
-		diags = gohcl.DecodeBody(parsed.Body, nil, &f)
-	}
-	if diags.HasErrors() {
-		return nil, hclerr.First(diags, name)
+	if err := hclfile.Decode(text, name, &f); err != nil {
+		return nil, err
 	}
 	r := reader{set: set, seen: map[string]bool{}}
 	for _, b := range f.Teams {
@@ -109,7 +104,7 @@
 	case strings.HasPrefix(err.Error(), at.Filename+":"):
 		r.err = err // it has a place of its own
 	default:
-		r.err = hclerr.At(at, "%v", err)
+		r.err = hclfile.At(at, "%v", err)
 	}
 }
 
@@ -143,13 +138,13 @@
 func numbers(body hcl.Body, name string) (map[string]float64, error) {
 	attributes, diags := body.JustAttributes()
 	if diags.HasErrors() {
-		return nil, hclerr.First(diags, name)
+		return nil, hclfile.First(diags, name)
 	}
 	out := map[string]float64{}
 	for field, a := range attributes {
 		var v float64
 		if diags := gohcl.DecodeExpression(a.Expr, nil, &v); diags.HasErrors() {
-			return nil, hclerr.First(diags, name)
+			return nil, hclfile.First(diags, name)
 		}
 		out[field] = v
 	}
--- a/internal/hclerr/hclerr.go
+++ b/internal/hclfile/hclfile.go
@@ -1,13 +1,26 @@
-// Package hclerr turns faults in HCL files into errors of one line, with the file, line and
-// column.
-package hclerr
+// Package hclfile reads HCL files. Its errors are one line with the file, line and column.
+package hclfile
 
 import (
 	"fmt"
 
 	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
 )
 
+// Decode reads text into a struct with hcl tags; the name is for errors.
+func Decode(text []byte, name string, into any) error {
+	f, diags := hclparse.NewParser().ParseHCL(text, name)
+	if !diags.HasErrors() {
+		diags = gohcl.DecodeBody(f.Body, nil, into)
+	}
+	if diags.HasErrors() {
+		return First(diags, name)
+	}
+	return nil
+}
+
 // First is the first of a file's faults; the name stands for a fault without a position.
 func First(diags hcl.Diagnostics, name string) error {
 	d := diags[0]
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -12,7 +12,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"dalefront/internal/hclerr"
+	"dalefront/internal/hclfile"
 	"dalefront/internal/site"
 )
 
@@ -25,7 +25,7 @@
 func (e *Experiment) Play(done func(finished, all int)) (*Report, error) {
 	for _, f := range e.Faults {
 		if !slices.Contains(site.MachineFaults, f.Kind) {
-			return nil, hclerr.At(f.Range, "fault %s can only be played at a live site; in simulated time there are %v", f.Kind, site.MachineFaults)
+			return nil, hclfile.At(f.Range, "fault %s can only be played at a live site; in simulated time there are %v", f.Kind, site.MachineFaults)
 		}
 	}
 	all := len(e.Variants) * e.Repeat
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -13,10 +13,9 @@
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclparse"
 
 	"dalefront/internal/config"
-	"dalefront/internal/hclerr"
+	"dalefront/internal/hclfile"
 	"dalefront/internal/site"
 	"dalefront/wire"
 )
@@ -102,16 +101,12 @@
 
 // Parse reads an experiment from text; the name is for errors.
 func Parse(text []byte, name string) (*Experiment, error) {
-	f, diags := hclparse.NewParser().ParseHCL(text, name)
 	e, part := &Experiment{}, file{}
-	if !diags.HasErrors() {
-		diags = gohcl.DecodeBody(f.Body, nil, &part)
-	}
-	if !diags.HasErrors() {
-		diags = gohcl.DecodeBody(part.Body, nil, e)
+	if err := hclfile.Decode(text, name, &part); err != nil {
+		return nil, err
 	}
-	if diags.HasErrors() {
-		return nil, hclerr.First(diags, name)
+	if diags := gohcl.DecodeBody(part.Body, nil, e); diags.HasErrors() {
+		return nil, hclfile.First(diags, name)
 	}
 	if part.Site != nil {
 		e.Site = *part.Site
@@ -155,7 +150,7 @@
 			}
 		}
 		if e.Variants = out; len(out) == 0 || len(out) > mostVariants {
-			return hclerr.At(s.Range, "sweep %s: there must be values, and at most %d combinations in all", s.Setting, mostVariants)
+			return hclfile.At(s.Range, "sweep %s: there must be values, and at most %d combinations in all", s.Setting, mostVariants)
 		}
 	}
 	return nil
@@ -191,53 +186,53 @@
 func (e *Experiment) check(name string) error {
 	top := hcl.Range{Filename: name, Start: hcl.InitialPos}
 	if !(e.DurationS >= 1 && e.DurationS <= 1e6) || !(e.DrainS >= 0 && e.DrainS <= 1e7) {
-		return hclerr.At(top, "duration_s must be from 1 to 1000000, and drain_s from 0 to 10000000")
+		return hclfile.At(top, "duration_s must be from 1 to 1000000, and drain_s from 0 to 10000000")
 	}
 	if e.Repeat > 100 || e.Machines < 1 || e.Machines > 10_000 || len(e.Classes) == 0 {
-		return hclerr.At(top, "repeat is at most 100, machines from 1 to 10000, and there must be a class")
+		return hclfile.At(top, "repeat is at most 100, machines from 1 to 10000, and there must be a class")
 	}
 	for _, c := range e.Classes {
 		switch {
 		case !slices.ContainsFunc(e.Site.Teams, func(t site.SpecTeam) bool { return t.Name == c.Team }):
-			return hclerr.At(c.Range, "class %s: team %s is not one of the site's", c.Name, c.Team)
+			return hclfile.At(c.Range, "class %s: team %s is not one of the site's", c.Name, c.Team)
 		case !slices.Contains([]string{wire.Production, wire.High, wire.Normal, wire.Low}, c.Priority):
-			return hclerr.At(c.Range, "class %s: priority must be production, urgent, normal or low", c.Name)
+			return hclfile.At(c.Range, "class %s: priority must be production, urgent, normal or low", c.Name)
 		case c.Shape != wire.Array && c.Shape != wire.Gang:
-			return hclerr.At(c.Range, "class %s: shape must be %s or %s", c.Name, wire.Array, wire.Gang)
+			return hclfile.At(c.Range, "class %s: shape must be %s or %s", c.Name, wire.Array, wire.Gang)
 		case len(c.Tasks) != 2 || c.Tasks[0] < 1 || c.Tasks[1] < c.Tasks[0] || c.Tasks[1] > 10_000:
-			return hclerr.At(c.Range, "class %s: tasks must be [FROM, TO], from 1 to 10000", c.Name)
+			return hclfile.At(c.Range, "class %s: tasks must be [FROM, TO], from 1 to 10000", c.Name)
 		case len(c.RunS) != 2 || !(c.RunS[0] > 0 && c.RunS[0] < 1e6) || !(c.RunS[1] >= 0 && c.RunS[1] <= 3):
-			return hclerr.At(c.Range, "class %s: run_s must be [MEAN, DEVIATION], the mean above 0, the deviation of its logarithm from 0 to 3", c.Name)
+			return hclfile.At(c.Range, "class %s: run_s must be [MEAN, DEVIATION], the mean above 0, the deviation of its logarithm from 0 to 3", c.Name)
 		case !(c.CPUs > 0 && c.MemoryGB > 0 && c.GPUs >= 0) || !slices.ContainsFunc(e.Site.Types, func(m site.SpecMachine) bool {
 			return c.CPUs <= m.CPUs && c.GPUs <= m.GPUs && c.MemoryGB <= m.MemoryGB
 		}):
-			return hclerr.At(c.Range, "class %s: cpus and memory_gb must be above 0, gpus not below, and fit a machine", c.Name)
+			return hclfile.At(c.Range, "class %s: cpus and memory_gb must be above 0, gpus not below, and fit a machine", c.Name)
 		case !(c.DueFactor >= 0 && c.DueFactor <= 1000) || c.Images < 0 || c.Images > 1000:
-			return hclerr.At(c.Range, "class %s: due_factor and images are from 0 to 1000", c.Name)
+			return hclfile.At(c.Range, "class %s: due_factor and images are from 0 to 1000", c.Name)
 		case !(c.PerHour >= 0 && c.PerHour <= 1e7) || c.PerHour == 0 && len(c.At) == 0:
-			return hclerr.At(c.Range, "class %s: per_hour or at_s must say when jobs arrive", c.Name)
+			return hclfile.At(c.Range, "class %s: per_hour or at_s must say when jobs arrive", c.Name)
 		case c.CheckpointEveryS < 0 || c.SaveS < 0 || c.ImageGB < 0 || c.ImageGB > 50:
-			return hclerr.At(c.Range, "class %s: amounts must not be negative, nor image_gb above 50", c.Name)
+			return hclfile.At(c.Range, "class %s: amounts must not be negative, nor image_gb above 50", c.Name)
 		}
 	}
 	for _, f := range e.Faults {
 		if !slices.Contains(site.Faults, f.Kind) || f.Count < 1 || f.AtS < 0 || f.ForS < 0 {
-			return hclerr.At(f.Range, "fault must be one of %v, at_s and for_s not negative", site.Faults)
+			return hclfile.At(f.Range, "fault must be one of %v, at_s and for_s not negative", site.Faults)
 		}
 	}
 	names := map[string]bool{}
 	for _, v := range e.Variants {
 		if !slices.Contains([]string{config.EvictAdaptive, config.EvictKill, config.EvictCheckpoint, config.EvictNone}, v.Eviction) {
-			return hclerr.At(v.Range, "variant %s: eviction must be adaptive, kill, checkpoint or none", v.Name)
+			return hclfile.At(v.Range, "variant %s: eviction must be adaptive, kill, checkpoint or none", v.Name)
 		}
 		if v.Order != config.OrderPriority && v.Order != config.OrderArrival {
-			return hclerr.At(v.Range, "variant %s: order must be priority or arrival", v.Name)
+			return hclfile.At(v.Range, "variant %s: order must be priority or arrival", v.Name)
 		}
 		if _, err := e.settings(v); err != nil {
-			return hclerr.At(v.Range, "variant %s: %v", v.Name, err)
+			return hclfile.At(v.Range, "variant %s: %v", v.Name, err)
 		}
 		if names[v.Name] || v.Machines < 0 || v.Machines > 10_000 {
-			return hclerr.At(v.Range, "variant %s: names differ, and machines are from 1 to 10000", v.Name)
+			return hclfile.At(v.Range, "variant %s: names differ, and machines are from 1 to 10000", v.Name)
 		}
 		names[v.Name] = true
 	}
--- a/internal/scale/spec.go
+++ b/internal/scale/spec.go
@@ -12,10 +12,8 @@
 	"slices"
 
 	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclparse"
 
-	"dalefront/internal/hclerr"
+	"dalefront/internal/hclfile"
 	"dalefront/internal/site"
 )
 
@@ -98,13 +96,9 @@
 
 // Parse reads a scale run from text; the name is for errors.
 func Parse(text []byte, name string) (*Spec, error) {
-	f, diags := hclparse.NewParser().ParseHCL(text, name)
 	s := &Spec{}
-	if !diags.HasErrors() {
-		diags = gohcl.DecodeBody(f.Body, nil, s)
-	}
-	if diags.HasErrors() {
-		return nil, hclerr.First(diags, name)
+	if err := hclfile.Decode(text, name, s); err != nil {
+		return nil, err
 	}
 	s.defaults()
 	return s, s.check(hcl.Range{Filename: name, Start: hcl.InitialPos})
@@ -127,30 +121,30 @@
 	c := &s.Counts
 	switch {
 	case c.Controllers < 1 || c.Controllers > 9 || c.Zones < 1 || c.Zones > 26:
-		return hclerr.At(at, "counts: controllers must be from 1 to 9, zones from 1 to 26")
+		return hclfile.At(at, "counts: controllers must be from 1 to 9, zones from 1 to 26")
 	case c.Workers < 1 || c.Workers > 20_000 || c.TasksRunning < 1 || c.Teams < 1 || c.Teams > 1000:
-		return hclerr.At(at, "counts: workers must be from 1 to 20000, tasks_running at least 1, teams from 1 to 1000")
+		return hclfile.At(at, "counts: workers must be from 1 to 20000, tasks_running at least 1, teams from 1 to 1000")
 	case !(c.StartsPerS >= 0) || c.StartsPerS*s.TaskS > float64(c.TasksRunning):
-		return hclerr.At(at, "counts: starts_per_s times task_s must not be above tasks_running")
+		return hclfile.At(at, "counts: starts_per_s times task_s must not be above tasks_running")
 	case c.Accelerators > acceleratorsEach*c.Workers:
-		return hclerr.At(at, "counts: more than %d accelerators a worker", acceleratorsEach)
+		return hclfile.At(at, "counts: more than %d accelerators a worker", acceleratorsEach)
 	case s.Limits.MemoryShare <= 0 || s.Limits.MemoryShare > 0.5:
-		return hclerr.At(at, "limits: memory_share must be above 0 and at most 0.5")
+		return hclfile.At(at, "limits: memory_share must be above 0 and at most 0.5")
 	}
 	for _, e := range s.Events {
 		if !slices.Contains([]string{EventKill, EventRack, EventRestart, EventCut}, e.Kind) {
-			return hclerr.At(e.Range, "event %q is not one of kill, rack, restart, cut", e.Kind)
+			return hclfile.At(e.Range, "event %q is not one of kill, rack, restart, cut", e.Kind)
 		}
 		if !(e.AtS >= 0 && e.AtS <= s.Trouble) {
-			return hclerr.At(e.Range, "event %s: at_s must be from 0 to trouble_s", e.Kind)
+			return hclfile.At(e.Range, "event %s: at_s must be from 0 to trouble_s", e.Kind)
 		}
 	}
 	for _, w := range s.Sweeps {
 		if _, err := s.with(w.Count, 1); err != nil {
-			return hclerr.At(w.Range, "%v", err)
+			return hclfile.At(w.Range, "%v", err)
 		}
 		if len(w.Values) < 4 {
-			return hclerr.At(w.Range, "sweep %s: at least four values", w.Count)
+			return hclfile.At(w.Range, "sweep %s: at least four values", w.Count)
 		}
 	}
 	return nil
--- a/internal/site/spec.go
+++ b/internal/site/spec.go
@@ -6,12 +6,10 @@
 	"slices"
 
 	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclparse"
 	"github.com/pelletier/go-toml/v2"
 
 	"dalefront/internal/config"
-	"dalefront/internal/hclerr"
+	"dalefront/internal/hclfile"
 	"dalefront/wire"
 )
 
@@ -89,13 +87,9 @@
 
 // ParseSpec reads a site from text; the name is for errors.
 func ParseSpec(text []byte, name string) (*Spec, error) {
-	f, diags := hclparse.NewParser().ParseHCL(text, name)
 	s := &Spec{}
-	if !diags.HasErrors() {
-		diags = gohcl.DecodeBody(f.Body, nil, s)
-	}
-	if diags.HasErrors() {
-		return nil, hclerr.First(diags, name)
+	if err := hclfile.Decode(text, name, s); err != nil {
+		return nil, err
 	}
 	s.Range = hcl.Range{Filename: name, Start: hcl.InitialPos}
 	return s, s.Complete()
@@ -122,13 +116,13 @@
 	*t = SpecState{cmp.Or(t.RPS, 400), cmp.Or(t.WriteRPS, 150), cmp.Or(t.ValueKB, 16), cmp.Or(t.TxnOps, 24)}
 	s.Cloud.RPS, s.Cloud.ListLagS = cmp.Or(s.Cloud.RPS, 10), cmp.Or(s.Cloud.ListLagS, 1)
 	if s.Controllers < 1 || s.Controllers > 9 || s.Machines < 1 || s.Machines > 20_000 {
-		return hclerr.At(s.Range, "controllers must be from 1 to 9, and machines from 1 to 20000")
+		return hclfile.At(s.Range, "controllers must be from 1 to 9, and machines from 1 to 20000")
 	}
 	if w.ReportS < 0.1 || w.LeaseS <= w.ReportS || w.GangWaitS <= 0 || w.GangPeerS <= 0 || w.CancelS <= w.ReportS {
-		return hclerr.At(s.Range, "workers: report_s must be at least 0.1, lease_s and cancel_s above it, the others above 0")
+		return hclfile.At(s.Range, "workers: report_s must be at least 0.1, lease_s and cancel_s above it, the others above 0")
 	}
 	if t.RPS < 10 || t.WriteRPS < 10 || t.ValueKB < 1 || t.TxnOps < 3 || s.Cloud.RPS < 1 || s.Cloud.ListLagS < 0 {
-		return hclerr.At(s.Range, "state: rps and write_rps must be at least 10, value_kb 1, txn_ops 3; cloud: rps 1")
+		return hclfile.At(s.Range, "state: rps and write_rps must be at least 10, value_kb 1, txn_ops 3; cloud: rps 1")
 	}
 	for i := range s.Types {
 		m := &s.Types[i]
@@ -137,23 +131,23 @@
 			m.Zones = s.Zones
 		}
 		if !(m.CPUs > 0 && m.MemoryGB > 0 && m.Price > 0 && m.GPUs >= 0 && m.CacheGB > 0 && m.FetchGBPS > 0 && m.BootS > 0 && m.SpotPrice > 0) {
-			return hclerr.At(m.Range, "machine %s: amounts must be above 0", m.Name)
+			return hclfile.At(m.Range, "machine %s: amounts must be above 0", m.Name)
 		}
 		if i != slices.IndexFunc(s.Types, func(x SpecMachine) bool { return x.Name == m.Name }) {
-			return hclerr.At(m.Range, "machine %s: there is another one of this name", m.Name)
+			return hclfile.At(m.Range, "machine %s: there is another one of this name", m.Name)
 		}
 		for _, z := range m.Zones {
 			if !slices.Contains(s.Zones, z) {
-				return hclerr.At(m.Range, "machine %s: zone %s is not one of %v", m.Name, z, s.Zones)
+				return hclfile.At(m.Range, "machine %s: zone %s is not one of %v", m.Name, z, s.Zones)
 			}
 		}
 	}
 	for i, t := range s.Teams {
 		if t.CPUs < 0 || t.GPUs < 0 || t.CPUsMax != 0 && t.CPUsMax < t.CPUs || t.GPUsMax != 0 && t.GPUsMax < t.GPUs {
-			return hclerr.At(t.Range, "team %s: a limit must not be below the guarantee", t.Name)
+			return hclfile.At(t.Range, "team %s: a limit must not be below the guarantee", t.Name)
 		}
 		if i != slices.IndexFunc(s.Teams, func(x SpecTeam) bool { return x.Name == t.Name }) {
-			return hclerr.At(t.Range, "team %s: there is another one of this name", t.Name)
+			return hclfile.At(t.Range, "team %s: there is another one of this name", t.Name)
 		}
 	}
 	return nil
