--- a/cmd/dalefront/scale.go
+++ b/cmd/dalefront/scale.go
@@ -41,10 +41,12 @@
 			}
 			broken := report.Broken
 			if sweep {
+				var written error
+				opt.Swept = func(slopes *scale.SweepReport) { written = writeSweeps(dir, slopes) }
 				slopes, err := scale.RunSweeps(ctx, spec, opt, report)
 				fmt.Fprintln(cmd.ErrOrStderr())
-				if werr := errors.Join(slopes.Text(cmd.OutOrStdout()), writeSweeps(dir, slopes)); werr != nil || err != nil {
-					return errors.Join(err, werr)
+				if err := errors.Join(err, slopes.Text(cmd.OutOrStdout()), written); err != nil {
+					return err
 				}
 				broken = append(broken, slopes.Broken...)
 			}
--- a/deploy/examples/scale.hcl
+++ b/deploy/examples/scale.hcl
@@ -3,6 +3,7 @@
 # docs/scale.md says what a run plays and measures, docs/CAPACITY.md what came of it.
 ramp_s    = 240
 steady_s  = 70
+sweep_s   = 15
 trouble_s = 90
 task_s    = 5
 
@@ -66,3 +67,19 @@
 sweep "starts_per_s" {
   values = [100, 370, 640, 920]
 }
+
+sweep "teams" {
+  values = [7, 21, 35, 49]
+}
+
+sweep "jobs_waiting" {
+  values = [0, 500, 1000, 2000]
+}
+
+sweep "gang_size" {
+  values = [32, 96, 160, 256]
+}
+
+sweep "config_per_s" {
+  values = [0, 2, 5, 10]
+}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -20,6 +20,7 @@
 	Operator string // the operator's settings of the controllers
 	Dir      string // for settings and logs; a temporary one
 	Progress func(what string)
+	Swept    func(*SweepReport) // called after each sweep with all so far
 }
 
 // ErrNotCounted means that the run was played but its figures don't count: the reasons are in
--- a/internal/scale/spec.go
+++ b/internal/scale/spec.go
@@ -32,6 +32,7 @@
 	State   *site.SpecState   `hcl:"state,block"`
 	Cloud   *site.SpecCloud   `hcl:"cloud,block"`
 	Seed    uint64            `hcl:"seed,optional"`
+	Sockets int               `hcl:"sockets,optional"` // of a controller; 800
 }
 
 // Counts is the size of a run. Each can be varied by a sweep.
@@ -110,6 +111,7 @@
 	c.GangEveryS, c.UrgentEveryS = cmp.Or(c.GangEveryS, 20), cmp.Or(c.UrgentEveryS, 5)
 	s.RampS, s.SteadyS, s.SweepS = cmp.Or(s.RampS, 180), cmp.Or(s.SteadyS, 60), cmp.Or(s.SweepS, 20)
 	s.TaskS, s.Seed = cmp.Or(s.TaskS, 5), cmp.Or(s.Seed, 1)
+	s.Sockets = cmp.Or(s.Sockets, 800)
 	if s.Limits == nil {
 		s.Limits = &SpecLimits{}
 	}
@@ -190,7 +192,7 @@
 // one core each, and a little more.
 func (s *Spec) site() site.Spec {
 	c := &s.Counts
-	out := site.Spec{Controllers: c.Controllers, Machines: c.Workers, Seed: s.Seed, Workers: s.Workers, State: s.State, Cloud: s.Cloud}
+	out := site.Spec{Controllers: c.Controllers, Machines: c.Workers, Seed: s.Seed, Sockets: s.Sockets, Workers: s.Workers, State: s.State, Cloud: s.Cloud}
 	for i := range c.Zones {
 		out.Zones = append(out.Zones, "zone-"+string(rune('a'+i)))
 	}
--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -94,6 +94,9 @@
 			out.Broken = append(out.Broken, r.Broken...)
 		}
 		out.Slopes = append(out.Slopes, slopes(sweep.Count, out.Points[sweep.Count], full)...)
+		if opt.Swept != nil {
+			opt.Swept(out)
+		}
 	}
 	return out, nil
 }
--- a/internal/site/spec.go
+++ b/internal/site/spec.go
@@ -19,6 +19,7 @@
 	Controllers int           `hcl:"controllers,optional"`
 	Machines    int           `hcl:"machines,optional"` // that may be rented
 	Seed        uint64        `hcl:"seed,optional"`
+	Sockets     int           `hcl:"sockets,optional"` // of a controller
 	Zones       []string      `hcl:"zones,optional"`
 	Types       []SpecMachine `hcl:"machine,block"`
 	Teams       []SpecTeam    `hcl:"team,block"`
@@ -98,6 +99,7 @@
 // Complete fills in what a specification leaves out, and checks it.
 func (s *Spec) Complete() error {
 	s.Controllers, s.Machines, s.Seed = cmp.Or(s.Controllers, 3), cmp.Or(s.Machines, 20), cmp.Or(s.Seed, 1)
+	s.Sockets = cmp.Or(s.Sockets, 500)
 	if len(s.Zones) == 0 {
 		s.Zones = []string{"a", "b"}
 	}
@@ -115,6 +117,9 @@
 	*w = SpecWorkers{cmp.Or(w.ReportS, 1), cmp.Or(w.LeaseS, 5), cmp.Or(w.GangWaitS, 20), cmp.Or(w.GangPeerS, 3), cmp.Or(w.CancelS, 15)}
 	*t = SpecState{cmp.Or(t.RPS, 400), cmp.Or(t.WriteRPS, 150), cmp.Or(t.ValueKB, 16), cmp.Or(t.TxnOps, 24)}
 	s.Cloud.RPS, s.Cloud.ListLagS = cmp.Or(s.Cloud.RPS, 10), cmp.Or(s.Cloud.ListLagS, 1)
+	if s.Sockets < 100 {
+		return hclfile.At(s.Range, "sockets must be at least 100")
+	}
 	if s.Controllers < 1 || s.Controllers > 9 || s.Machines < 1 || s.Machines > 20_000 {
 		return hclfile.At(s.Range, "controllers must be from 1 to 9, and machines from 1 to 20000")
 	}
@@ -181,7 +186,7 @@
 	d.Workers = config.Workers(*s.Workers)
 	d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = s.State.RPS, s.State.WriteRPS, s.State.ValueKB, s.State.TxnOps
 	d.Cloud.RPS, d.Cloud.ListLagS = s.Cloud.RPS, s.Cloud.ListLagS
-	d.Resources.Cores, d.Resources.RAMMB, d.Resources.Sockets = 1, 256, 500
+	d.Resources.Cores, d.Resources.RAMMB, d.Resources.Sockets = 1, 256, s.Sockets
 	return toml.Marshal(c)
 }
 
