--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -20,7 +20,7 @@
 func Describe(prefix string) string {
 	return map[string]string{
 		"q/a": "jobs that are not over", "q/e": "final answers", "a/m": "manifests of the archive", "a/l": "leaves of the archive",
-		"p": "progress", "l": "ledger", "h": "requests for machines", "s": "recurring jobs", "learned": "what was observed",
+		"c": "configuration", "ch": "history of the configuration", "p": "progress", "l": "ledger", "h": "requests for machines", "s": "recurring jobs", "learned": "what was observed",
 	}[strings.TrimSuffix(prefix, "/")]
 }
 
