What an eviction costs is reckoned without sorting and without memory of its own

Change: evictionCost picks the victims in the same order without allocating; the victims themselves are made for the one machine that is chosen. Gangs take the way of before.

--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -9,6 +9,7 @@
 // victim is a task, or a whole gang, that might make room on a machine.
 type victim struct {
 	tasks      []*placement // all that stop
+	size       int          // how many these are
 	here       int          // how many of them are on the machine
 	dump       Micros       // size over write bandwidth
 	overhead   Micros       // dump, restore and wait behind the machine's queue
@@ -22,7 +23,7 @@
 // weigh is what a task's eviction takes with it and costs, if no save is ahead of its.
 func (c *Core) weigh(p *placement) victim {
 	j := p.job
-	v := victim{tasks: []*placement{p}, here: 1}
+	v := victim{tasks: []*placement{p}, size: 1, here: 1}
 	if j.gang() { // gangs go whole
 		v.tasks, v.here = nil, 0
 		for q := range j.placements {
@@ -31,6 +32,7 @@
 				v.here++
 			}
 		}
+		v.size = len(v.tasks)
 	}
 	c.judgeBy(&v, p, 0)
 	return v
@@ -57,7 +59,7 @@
 			v.cost = min(lost, config.Micro(j.spec.CheckpointEvery))
 		}
 	}
-	v.cost *= Micros(len(v.tasks))
+	v.cost *= Micros(v.size)
 	// Soft point: in a burst fresh tasks would be killed over and over, since
 	// they look cheapest. Each eviction makes the job's tasks dearer.
 	v.cost += Micros(j.evictions) * 5 * second
@@ -163,7 +165,6 @@
 	}
 	zones, claims := j.zones(), c.claims(j)
 	var bestM *machine
-	var best []victim
 	var bestCost Micros
 	for _, m := range c.open {
 		if !allowed(j, m) || m.reserved != nil || !zoneOK(j, zones, m.zone) ||
@@ -173,22 +174,20 @@
 		if u := m.below(j.rank); !claims && slots(j, m.kind, m.cpus-u.cpus, m.gpus-u.gpus, m.mem-u.mem) == 0 {
 			continue // not with all of them gone
 		}
-		vs, ok := c.victims(j, m)
+		evictions, ok := c.evictionCost(j, m)
 		if !ok {
 			continue
 		}
-		cost := Micros(c.score(j, m) * float64(second))
-		for _, v := range vs {
-			cost += v.cost
-		}
+		cost := Micros(c.score(j, m)*float64(second)) + evictions
 		if bestM == nil || cost < bestCost || (cost == bestCost && m.host < bestM.host) {
-			bestM, best, bestCost = m, vs, cost
+			bestM, bestCost = m, cost
 		}
 	}
 	if bestM == nil {
 		j.noRoomTill = c.now + noRoom
 		return
 	}
+	best, _ := c.victims(j, bestM)
 	c.evict(j, bestM, best)
 }
 
@@ -220,6 +219,11 @@
 	m.reservedTill = c.now + longest + 10*second
 }
 
+// mayGo says whether the task may make way for the job, and its job was not evicted too often.
+func (c *Core) mayGo(p *placement, j *job) bool {
+	return c.evictable(p, j) && p.job.evictions < maxEvictions*max(1, len(p.job.placements))
+}
+
 // victims picks the cheapest victims on the machine, by checkpoint time, that
 // make room for one task of the job.
 func (c *Core) victims(j *job, m *machine) ([]victim, bool) {
@@ -239,7 +243,7 @@
 			}
 			return
 		}
-		if !c.evictable(p, j) || seen[p.job] && p.job.gang() || p.job.evictions >= maxEvictions*max(1, len(p.job.placements)) {
+		if seen[p.job] && p.job.gang() || !c.mayGo(p, j) {
 			return
 		}
 		seen[p.job] = true
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -407,6 +407,7 @@
 	entries    map[string]*entry
 	spent      []*entry            // nothing of them is left
 	fragile    map[string]struct{} // they name returned machines
+	considered []considered        // of the machine that was looked at last, kept to be used again
 	cordons    []dynconfig.Cordon
 	generation uint64       // version of the configuration's generation that decisions are made by
 	strays     []*placement // found on machines, not in any entry
