--- a/internal/scale/generator.go
+++ b/internal/scale/generator.go
@@ -218,9 +218,15 @@
 			g.submit(ctx, j)
 		})
 	}
-	for left := g.residentTasks(); left > 0; left -= arrayTasks {
-		j := g.newJob(classResident, wire.Low, min(left, arrayTasks), 1e6)
-		j.CheckpointEvery, j.SaveS = 30, 1
+	onAccel := g.acceleratorTasks()
+	for left := onAccel; left > 0; left -= arrayTasks {
+		j := g.resident(min(left, arrayTasks))
+		j.Types, j.GPUs = []string{accelType}, g.spec.acceleratorShare()
+		send(j)
+	}
+	for left := g.residentTasks() - onAccel; left > 0; left -= arrayTasks {
+		j := g.resident(min(left, arrayTasks))
+		j.Types = []string{plainType}
 		send(j)
 	}
 	for range c.JobsWaiting {
@@ -231,6 +237,23 @@
 	all.Wait()
 }
 
+// residentS is how long resident tasks run: longer than any run.
+const residentS = 1e6
+
+// resident is an array of long tasks that save.
+func (g *generator) resident(tasks int) wire.Job {
+	due := 10 * residentS // work of low priority without a deadline is no reason to rent
+	j := g.newJob(classResident, wire.Low, tasks, residentS)
+	j.CheckpointEvery, j.SaveS, j.DeadlineS = 30, 1, &due
+	return j
+}
+
+// acceleratorTasks is how many of the tasks that run all the time use accelerators: they fill
+// the workers that have any.
+func (g *generator) acceleratorTasks() int {
+	return min(g.residentTasks(), g.spec.Counts.Accelerators/acceleratorsEach*int(g.spec.coresEach()))
+}
+
 // residentTasks is how many tasks run all the time.
 func (g *generator) residentTasks() int {
 	c := &g.spec.Counts
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -15,25 +15,26 @@
 
 // Report is what a run measured.
 type Report struct {
-	Counts     Counts        `json:"counts"`
-	Compressed float64       `json:"compressed"` // jobs in a second, over those of the day that the run stands for; 0 without such a day
-	Host       Host          `json:"host"`
-	Ramp       RampResult    `json:"ramp"`
-	Workers    int           `json:"workers"`
-	Running    []int         `json:"running"` // tasks, at each second of the steady part
-	StartsPerS float64       `json:"starts_per_s"`
-	Roles      []Role        `json:"roles"`
-	State      StateCost     `json:"state_service"`
-	Worker     WorkerCost    `json:"worker"`
-	Steady     Generated     `json:"steady"`
-	Troubled   Generated     `json:"troubled"`
-	Events     []string      `json:"events"`
-	Config     *ConfigResult `json:"config,omitempty"`
-	PeakMB     float64       `json:"peak_mb"` // all processes together
-	Processes  int           `json:"processes"`
-	Broken     []string      `json:"broken_rules"`
-	Malformed  []string      `json:"malformed_transactions"`
-	NotCounted []string      `json:"not_counted"`
+	Counts     Counts         `json:"counts"`
+	Compressed float64        `json:"compressed"` // jobs in a second, over those of the day that the run stands for; 0 without such a day
+	Host       Host           `json:"host"`
+	Ramp       RampResult     `json:"ramp"`
+	Workers    int            `json:"workers"`
+	Types      map[string]int `json:"workers_by_type"`
+	Running    []int          `json:"running"` // tasks, at each second of the steady part
+	StartsPerS float64        `json:"starts_per_s"`
+	Roles      []Role         `json:"roles"`
+	State      StateCost      `json:"state_service"`
+	Worker     WorkerCost     `json:"worker"`
+	Steady     Generated      `json:"steady"`
+	Troubled   Generated      `json:"troubled"`
+	Events     []string       `json:"events"`
+	Config     *ConfigResult  `json:"config,omitempty"`
+	PeakMB     float64        `json:"peak_mb"` // all processes together
+	Processes  int            `json:"processes"`
+	Broken     []string       `json:"broken_rules"`
+	Malformed  []string       `json:"malformed_transactions"`
+	NotCounted []string       `json:"not_counted"`
 }
 
 // RampResult is how the workers were filled.
@@ -134,8 +135,8 @@
 // Text writes the report for people.
 func (r *Report) Text(out io.Writer) error {
 	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintf(t, "%d workers, %d to %d tasks running, %.0f starts/s, %d teams; %d processes, %.0f MB at the peak of %.0f, processors %.0f %% busy\n",
-		r.Workers, least(r.Running), most(r.Running), r.StartsPerS, r.Counts.Teams, r.Processes, r.PeakMB, r.Host.MemoryMB, 100*r.Host.Busy)
+	fmt.Fprintf(t, "%d workers (%v), %d to %d tasks running, %.0f starts/s, %d teams; %d processes, %.0f MB at the peak of %.0f, processors %.0f %% busy\n",
+		r.Workers, r.Types, least(r.Running), most(r.Running), r.StartsPerS, r.Counts.Teams, r.Processes, r.PeakMB, r.Host.MemoryMB, 100*r.Host.Busy)
 	if r.Compressed > 0 {
 		fmt.Fprintf(t, "jobs come %.1f times as fast as on the day that this stands for\n", r.Compressed)
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -170,6 +170,12 @@
 		}
 	}
 	r.meter.take()
+	r.report.Types = map[string]int{}
+	for _, m := range r.site.Fleet.List() {
+		if m.State == wire.HostRunning {
+			r.report.Types[m.Type]++
+		}
+	}
 	if all, free, err := processorTicks(); err == nil && all > busy {
 		r.report.Host.Busy = 1 - (free-idle)/(all-busy)
 	}
--- a/internal/scale/spec.go
+++ b/internal/scale/spec.go
@@ -219,4 +219,10 @@
 	return max(math.Ceil(each), math.Floor(spareRoom*each))
 }
 
+// acceleratorShare is what a task takes of accelerators so that a worker has some for each of
+// its cores, in hundredths.
+func (s *Spec) acceleratorShare() float64 {
+	return math.Floor(100*acceleratorsEach/s.coresEach()) / 100
+}
+
 func teamName(i int) string { return fmt.Sprintf("team-%02d", i+1) }
