An apply that takes over from another reads the history again too

Cause: found on reading the change once more: the keys of the history were read before the generation's key was taken over, so parts that the other wrote in between would have stayed, and been joined with the history of the new generation. Change: after taking over everything is read anew; parts of another apply are left out.

--- a/internal/dynconfig/dynconfig_test.go
+++ b/internal/dynconfig/dynconfig_test.go
@@ -301,6 +301,25 @@
 	}
 }
 
+// Parts of a history that an abandoned apply has left behind those of the one in force are not
+// taken for its own.
+func TestHistoryOfAnAbandonedApply(t *testing.T) {
+	part := func(apply string, number int, name string) wire.Entry {
+		value, err := wire.Marshal(History{Generation: 1, Apply: apply, Parts: 2, Changes: []HistoryChange{{Kind: KindTeam, Name: name}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return wire.Entry{Key: historyKey(1, number), Value: value}
+	}
+	got, err := ReadHistory([]wire.Entry{part("b", 0, "red"), part("b", 1, "blue"), part("a", 2, "green")}, 1)
+	if err != nil || len(got) != 1 || len(got[0].Changes) != 2 {
+		t.Errorf("%+v %v", got, err)
+	}
+	if got, err := ReadHistory([]wire.Entry{part("a", 0, "red")}, 0); err != nil || len(got) != 0 {
+		t.Errorf("history of a generation that never was: %+v %v", got, err)
+	}
+}
+
 // History is bounded, and so is what one apply deletes of it.
 func TestHistoryIsBounded(t *testing.T) {
 	s := newStore(t)
--- a/internal/dynconfig/state.go
+++ b/internal/dynconfig/state.go
@@ -179,10 +179,12 @@
 		if err := wire.Unmarshal(e.Value, &h); err != nil {
 			return nil, fmt.Errorf("%s: %w", e.Key, err)
 		}
-		if last := len(out) - 1; last >= 0 && out[last].Generation == h.Generation {
-			out[last].Changes = append(out[last].Changes, h.Changes...)
-		} else if h.Generation <= newest {
+		switch last := len(out) - 1; {
+		case h.Generation > newest:
+		case last < 0 || out[last].Generation != h.Generation:
 			out = append(out, h)
+		case out[last].Apply == h.Apply: // else of an apply that was abandoned
+			out[last].Changes = append(out[last].Changes, h.Changes...)
 		}
 	}
 	slices.Reverse(out)
--- a/internal/node/configapply.go
+++ b/internal/node/configapply.go
@@ -77,13 +77,9 @@
 	if a.unknown != nil && *a.unknown != s.GenerationVersion {
 		a.unknown = nil // it failed its condition, and always will
 	}
-	if s.Generation.Staging != "" {
-		if err := a.claim(ctx, s); err != nil {
-			return nil, err
-		}
-		if s, _, err = a.n.config.read(ctx); err != nil {
-			return nil, err
-		}
+	if by := s.Generation.Staging; by != "" && by != a.q.ID {
+		// What it has written until it is taken over, history too, is to be read after that.
+		return nil, errors.Join(dynconfig.ErrStaging, a.claim(ctx, s))
 	}
 	if a.ask.RollBack != nil {
 		if answer, err := a.rollBack(ctx, s); answer != nil || err != nil {
--- a/internal/sim/confignodes_test.go
+++ b/internal/sim/confignodes_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -223,3 +225,48 @@
 		return code == 422
 	})
 }
+
+// A change too large for one transaction whose controller ends while it is stored: the next apply,
+// at another controller, takes over, and nothing of the first is in force or in the history.
+func TestApplyAfterAnAbandonedOne(t *testing.T) {
+	c := configCluster(t, nil)
+	large := func(id string) *peer.ConfigApply {
+		q := &peer.ConfigApply{ID: id}
+		for i := range 20 {
+			d := document(dynconfig.KindCordon, fmt.Sprint("c", i), dynconfig.Cordon{Zone: "y", Reason: id})
+			q.Changes = append(q.Changes, dynconfig.Change{Document: d})
+		}
+		return q
+	}
+	c.applied(0, large("first"))
+	// From the second write on nothing is answered, as if the controller had ended.
+	var writes atomic.Int64
+	c.svc.LoseAnswers(func(keys []string) bool {
+		if !strings.HasPrefix(keys[0], "c") {
+			return false
+		}
+		return writes.Add(1) > 1
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	a, err := c.nodes[0].PeerConfigApply(ctx, large("second"))
+	cancel()
+	c.svc.LoseAnswers(nil)
+	if err != nil || a.Outcome == peer.ConfigApplied {
+		t.Fatalf("%+v %v", a, err)
+	}
+	c.applied(1, removeX("x is not there")) // changes nothing
+	c.applied(1, cordonX("third"))
+	read, err := c.nodes[2].PeerConfigRead(context.Background(), &peer.ConfigRead{History: true})
+	if err != nil || read.Generation != 2 || len(read.Documents) != 21 || read.History[0].Apply != "third" || len(read.History[0].Changes) != 1 {
+		t.Fatalf("generation %d, %d documents, history %+v, %v", read.Generation, len(read.Documents), read.History, err)
+	}
+	for _, d := range read.Documents {
+		var cordon dynconfig.Cordon
+		if wire.Unmarshal(d.Body, &cordon) != nil || cordon.Reason == "second" {
+			t.Errorf("%s is in force as the abandoned apply had it", d.ID())
+		}
+	}
+	if staging, _ := c.svc.Entry(dynconfig.GenerationKey); strings.Contains(string(staging.Value), "second") {
+		t.Error("the abandoned apply still has the generation's key")
+	}
+}
