--- a/internal/node/configapply.go
+++ b/internal/node/configapply.go
@@ -87,15 +87,8 @@
 		}
 	}
 	plan, err := s.Plan(a.q, keys, a.n.set.TxnLimits())
-	switch {
-	case errors.Is(err, dynconfig.ErrNoChange) && a.unknown == nil:
-		return &peer.ConfigApplyAnswer{Outcome: peer.ConfigUnchanged, Generation: s.Generation.Number}, nil
-	case errors.Is(err, dynconfig.ErrGeneration) && a.unknown == nil:
-		return &peer.ConfigApplyAnswer{Outcome: peer.ConfigStale, Generation: s.Generation.Number, Why: err.Error()}, nil
-	case errors.Is(err, dynconfig.ErrStaging), errors.Is(err, dynconfig.ErrNoChange), errors.Is(err, dynconfig.ErrGeneration):
-		return nil, err
-	case err != nil:
-		return &peer.ConfigApplyAnswer{Outcome: peer.ConfigInvalid, Why: err.Error()}, nil
+	if err != nil {
+		return a.unplanned(s, err)
 	}
 	term, err := a.term(ctx)
 	if errors.Is(err, errEarlierVersion) {
@@ -114,6 +107,24 @@
 	return &peer.ConfigApplyAnswer{Outcome: peer.ConfigApplied, Generation: plan.Generation, Changes: plan.Changes}, nil
 }
 
+// unplanned answers a request that can't be planned, or lets it be tried again: while an
+// earlier transaction of it may yet arrive nothing is final.
+func (a *applier) unplanned(s *dynconfig.State, err error) (*peer.ConfigApplyAnswer, error) {
+	outcome := peer.ConfigInvalid
+	switch {
+	case errors.Is(err, dynconfig.ErrStaging):
+		return nil, err
+	case errors.Is(err, dynconfig.ErrNoChange):
+		outcome = peer.ConfigUnchanged
+	case errors.Is(err, dynconfig.ErrGeneration):
+		outcome = peer.ConfigStale
+	}
+	if a.unknown != nil {
+		return nil, err
+	}
+	return &peer.ConfigApplyAnswer{Outcome: outcome, Generation: s.Generation.Number, Why: err.Error()}, nil
+}
+
 // oldestHistory is how many of the oldest keys of the history are looked at, to be tidied.
 const oldestHistory = 8
 
