One place each for a launch's bytes, the history's reading, the changes asked for and the check of earlier versions

Tests of sched, node, site, dynconfig and those of configuration, rules and lost answers in sim pass.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -271,13 +271,18 @@
 	}
 	a := &peer.ConfigReadAnswer{Generation: s.Generation.Number, Documents: s.Documents()}
 	if q.History {
-		entries, _, err := n.state.List(ctx, dynconfig.HistoryPrefix)
-		if err == nil {
-			a.History, err = dynconfig.ReadHistory(entries, s.Generation.Number)
-		}
-		if err != nil {
+		if a.History, err = n.config.history(ctx, s); err != nil {
 			return &peer.ConfigReadAnswer{Why: err.Error()}, nil
 		}
 	}
 	return a, nil
 }
+
+// history reads what is kept of the generations up to that of a state, the newest first.
+func (c *configuration) history(ctx context.Context, s *dynconfig.State) ([]dynconfig.History, error) {
+	entries, _, err := c.n.state.List(ctx, dynconfig.HistoryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	return dynconfig.ReadHistory(entries, s.Generation.Number)
+}
--- a/internal/node/configapply.go
+++ b/internal/node/configapply.go
@@ -168,11 +168,7 @@
 
 // rollBack makes the request's changes those that lead back to a generation.
 func (a *applier) rollBack(ctx context.Context, s *dynconfig.State) (*peer.ConfigApplyAnswer, error) {
-	entries, _, err := a.n.state.List(ctx, dynconfig.HistoryPrefix)
-	if err != nil {
-		return nil, err
-	}
-	history, err := dynconfig.ReadHistory(entries, s.Generation.Number)
+	history, err := a.n.config.history(ctx, s)
 	if err != nil {
 		return nil, err
 	}
@@ -189,24 +185,20 @@
 	if err != nil {
 		return wire.Cond{}, err
 	}
-	if !found {
-		if old := a.n.config.earlierPeers(); len(old) > 0 {
-			return wire.Cond{}, fmt.Errorf("%s %w", strings.Join(old, ", "), errEarlierVersion)
-		}
-		return wire.Cond{Key: termKey}, nil
-	}
-	var t termRecord
-	if err := wire.Unmarshal(e.Value, &t); err != nil {
-		return wire.Cond{}, err
-	}
 	old := a.n.config.earlierPeers()
-	if !t.Configures {
-		old = []string{t.Node}
+	if found {
+		var t termRecord
+		if err := wire.Unmarshal(e.Value, &t); err != nil {
+			return wire.Cond{}, err
+		}
+		if !t.Configures {
+			old = []string{t.Node}
+		}
 	}
 	if len(old) > 0 {
 		return wire.Cond{}, fmt.Errorf("%s %w", strings.Join(old, ", "), errEarlierVersion)
 	}
-	return wire.Cond{Key: termKey, Version: e.Version}, nil
+	return wire.Cond{Key: termKey, Version: e.Version}, nil // version 0: there is none, and none may come
 }
 
 // store carries a plan out. Whatever of it has no answer is found by reading again.
--- a/internal/sched/batch.go
+++ b/internal/sched/batch.go
@@ -85,10 +85,13 @@
 	return b.entriesNeeded()+len(b.drop) < b.limits.changes && len(b.drop) < maxDrops
 }
 
+// launchBytes is what a single launch takes of an entry, its machine included.
+func launchBytes(m *machine) int { return hostBytes(m) + runBytes + taskBytes }
+
 // takeMachine notes that the batch names the machine.
 func (b *batch) takeMachine(m *machine) {
 	b.machines[m] = true
-	b.widest = max(b.widest, hostBytes(m)+runBytes+taskBytes)
+	b.widest = max(b.widest, launchBytes(m))
 }
 
 // takeJob notes that the batch launches tasks of the job.
@@ -203,7 +206,7 @@
 	bytes, widest := b.bytes, b.widest
 	b.bytes += e.size(b)
 	for p := range e.live {
-		b.widest = max(b.widest, hostBytes(p.m)+runBytes+taskBytes)
+		b.widest = max(b.widest, launchBytes(p.m))
 	}
 	if b.bytes > b.limits.total || !b.mayDrop() {
 		b.bytes, b.widest = bytes, widest
@@ -299,7 +302,7 @@
 		}
 		if size+n > most && i > first {
 			parts = append(parts, ps[first:i])
-			first, size, n = i, 0, hostBytes(p.m)+runBytes+taskBytes
+			first, size, n = i, 0, launchBytes(p.m)
 		}
 		size += n
 	}
--- a/internal/site/services.go
+++ b/internal/site/services.go
@@ -44,7 +44,6 @@
 	late     func() (time.Duration, bool)
 	lose     func(keys []string) bool
 	stored   func(key string, value []byte)
-	asked    int
 	meter    stateMeter
 	refused  []string // transactions that exceeded the limits, and how
 
@@ -159,7 +158,7 @@
 func (s *Services) AskedChanges() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.asked
+	return int(s.meter.asked)
 }
 
 // HasLease says whether a lease has not ended.
@@ -415,7 +414,6 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	s.asked += len(t.Then)
 	s.meter.asked += int64(len(t.Then))
 	lost := s.lose != nil && len(t.Then) > 0 && s.lose(t.changes())
 	code, a := s.apply(&t)
