--- a/review/standin/malformed.go
+++ b/review/standin/malformed.go
@@ -8,8 +8,9 @@
 	"dalefront/wire"
 )
 
-// damagedList is a MessagePack list that announces 4,294,967,295 elements, none of which follows.
-var damagedList = []byte{0xdd, 0xff, 0xff, 0xff, 0xff}
+// damagedList is the beginning of MessagePack lists, one in the other, each of which announces 4,294,967,295 elements. The
+// elements are missing.
+var damagedList = bytes.Repeat([]byte{0xdd, 0xff, 0xff, 0xff, 0xff}, 8)
 
 // runMalformed submits a job whose encoded list of machine types is damaged, while another job runs. The submission is
 // malformed, so that it must get 400, and no controller may end by itself.
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -87,6 +88,7 @@
 	}
 	for i := range w.site.NumControllers() {
 		w.platform.Go(func() { w.keepRunning(i) })
+		w.platform.Go(func() { w.limitMemory(i) })
 	}
 	ctx, cancel := context.WithTimeout(w.ctx, 20*time.Second)
 	defer cancel()
@@ -120,6 +122,30 @@
 	}
 }
 
+// memoryLimit is the memory in kilobytes that the settings allow a controller (ram_mb).
+const memoryLimit = 256 << 10
+
+// limitMemory kills a controller whenever it has used more memory than its settings allow.
+func (w *world) limitMemory(i int) {
+	killed := 0
+	for ; !w.isStopping(); time.Sleep(50 * time.Millisecond) {
+		pid := w.site.PID(i)
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+		if err != nil || pid == killed {
+			continue
+		}
+		used := 0
+		if _, peak, found := strings.Cut(string(status), "VmHWM:"); found {
+			_, _ = fmt.Sscan(peak, &used)
+		}
+		if used > memoryLimit {
+			killed = pid
+			w.log.addf("platform: %s is killed: it has used %d MB", w.site.Label(i), used>>10)
+			_ = w.site.Signal(i, syscall.SIGKILL)
+		}
+	}
+}
+
 func (w *world) isStopping() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
