--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,8 +10,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -27,7 +29,7 @@
 
 var (
 	errUnknownCase = errors.New("there is no such case")
-	errTimeLimit   = errors.New("the case took too long")
+	errTimeLimit   = errors.New("the case took too long or was told to end")
 	errNotRunning  = errors.New("the job does not run")
 )
 
@@ -78,7 +80,9 @@
 	if err != nil {
 		return false, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
+	ctx, release := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer release()
+	ctx, cancel := context.WithTimeout(ctx, timeLimit)
 	defer cancel()
 	w := &world{ctx: ctx, log: log, trouble: os.Getenv("TROUBLE") != "0", starts: map[string]int{}}
 	log.addf("case %s, disruption: %v", name, w.trouble)
--- a/review/standin/waiting.go
+++ b/review/standin/waiting.go
@@ -77,7 +77,7 @@
 // have room for a task all the time.
 func (w *world) startsBesideRoom(job wire.Job) (started bool, err error) {
 	began, next := time.Now(), time.Duration(0)
-	for time.Since(began) < maxWait {
+	for time.Since(began) < maxWait && w.ctx.Err() == nil {
 		if w.started(job.ID) > 0 {
 			return true, nil
 		}
@@ -93,6 +93,9 @@
 		}
 		time.Sleep(250 * time.Millisecond)
 	}
+	if w.ctx.Err() != nil {
+		return false, errTimeLimit
+	}
 	w.log.addf("workers: no task of %s has started within %v, and there was room all the time", job.ID, maxWait)
 	return false, nil
 }
