Messages are checked before they are decoded

What callers saw: the user of a malformed submission of 210 bytes got no answer, and every controller that read it ended with "fatal error: runtime: out of memory".

Cause: ParseJob decoded a user's bytes into untyped values. On this way the MessagePack library allocates what the header of a list or a map announces (16 bytes for each of 4,294,967,295 elements) before it reads an element. Decoding into messages does the same for lists of structs, a million elements for texts, maps and RawMessage keys, and 1 MiB for a text. A failed allocation is no panic, so the HTTP server cannot contain it.

Seen on the way: a value that is cut off left the pooled decoder recording, so that it kept a copy of every later body (91 MB after 1,000,000 bodies of 37 bytes) until it read a raw value again.

Why the fix works: wire.checkStructure walks a body without allocating for its elements and without recursion, and rejects it unless everything that a header announces is in the body. wire.Unmarshal and ParseJob are the only ways from bytes to messages, and both check first; so no decoder meets a header that lies, and none stops halfway in a raw value. Extensions are rejected: the protocol has none, and the library would read a header inside of one. ParseJob now decodes only the fields of a submission, and lists no further than their limit; it tells what is wrong and where.

--- a/wire/golden_test.go
+++ b/wire/golden_test.go
@@ -9,40 +9,42 @@
 	"dalefront/wire"
 )
 
+// messages has the zero value of every message.
+var messages = []golden.Message{
+	{Name: "job", Zero: wire.Job{}},
+	{Name: "job status", Zero: wire.JobStatus{}},
+	{Name: "task in a report", Zero: wire.TaskStatus{}},
+	{Name: "report", Zero: wire.Heartbeat{}},
+	{Name: "order", Zero: wire.Command{}},
+	{Name: "answer to a report", Zero: wire.HeartbeatResponse{}},
+	{Name: "redirect", Zero: wire.Redirect{}},
+	{Name: "orders to a worker", Zero: wire.CommandBatch{}},
+	{Name: "machine type", Zero: wire.MachineType{}},
+	{Name: "catalog", Zero: wire.Catalog{}},
+	{Name: "rental", Zero: wire.ScaleOutRequest{}},
+	{Name: "machine names", Zero: wire.MachineIDs{}},
+	{Name: "machine", Zero: wire.Machine{}},
+	{Name: "machines", Zero: wire.MachinePage{}},
+	{Name: "error", Zero: wire.Error{}},
+	{Name: "key", Zero: wire.KeyValue{}},
+	{Name: "keys", Zero: wire.KeyValuePage{}},
+	{Name: "condition", Zero: wire.Condition{}},
+	{Name: "change", Zero: wire.Mutation{}},
+	{Name: "transaction", Zero: wire.Txn{}},
+	{Name: "answer to a transaction", Zero: wire.TxnResponse{}},
+	{Name: "lease", Zero: wire.Lease{}},
+	{Name: "event", Zero: wire.Event{}},
+	{Name: "events", Zero: wire.Events{}},
+	{Name: "run of a schedule", Zero: wire.ScheduleRun{}},
+	{Name: "schedule", Zero: wire.Schedule{}},
+	{Name: "schedules", Zero: wire.Schedules{}},
+	{Name: "job in a list", Zero: wire.JobSummary{}},
+	{Name: "job list", Zero: wire.JobList{}},
+}
+
 // Compares the encoding of every message, and its decoding, with testdata/messages.golden. The file
 // has the names on the wire and must not be rewritten.
 func TestMessageEncodings(t *testing.T) {
-	messages := []golden.Message{
-		{Name: "job", Zero: wire.Job{}},
-		{Name: "job status", Zero: wire.JobStatus{}},
-		{Name: "task in a report", Zero: wire.TaskStatus{}},
-		{Name: "report", Zero: wire.Heartbeat{}},
-		{Name: "order", Zero: wire.Command{}},
-		{Name: "answer to a report", Zero: wire.HeartbeatResponse{}},
-		{Name: "redirect", Zero: wire.Redirect{}},
-		{Name: "orders to a worker", Zero: wire.CommandBatch{}},
-		{Name: "machine type", Zero: wire.MachineType{}},
-		{Name: "catalog", Zero: wire.Catalog{}},
-		{Name: "rental", Zero: wire.ScaleOutRequest{}},
-		{Name: "machine names", Zero: wire.MachineIDs{}},
-		{Name: "machine", Zero: wire.Machine{}},
-		{Name: "machines", Zero: wire.MachinePage{}},
-		{Name: "error", Zero: wire.Error{}},
-		{Name: "key", Zero: wire.KeyValue{}},
-		{Name: "keys", Zero: wire.KeyValuePage{}},
-		{Name: "condition", Zero: wire.Condition{}},
-		{Name: "change", Zero: wire.Mutation{}},
-		{Name: "transaction", Zero: wire.Txn{}},
-		{Name: "answer to a transaction", Zero: wire.TxnResponse{}},
-		{Name: "lease", Zero: wire.Lease{}},
-		{Name: "event", Zero: wire.Event{}},
-		{Name: "events", Zero: wire.Events{}},
-		{Name: "run of a schedule", Zero: wire.ScheduleRun{}},
-		{Name: "schedule", Zero: wire.Schedule{}},
-		{Name: "schedules", Zero: wire.Schedules{}},
-		{Name: "job in a list", Zero: wire.JobSummary{}},
-		{Name: "job list", Zero: wire.JobList{}},
-	}
 	golden.Messages(t, "messages.golden", messages)
 	golden.CheckCoverage(t, messages)
 }
--- a/wire/submission.go
+++ b/wire/submission.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"math"
+	"reflect"
 	"slices"
+	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -42,7 +44,7 @@
 // ParseJob decodes and validates a submission. Its errors wrap ErrMalformed. If there is an error, the
 // returned job has only its ID, or is nil if the ID is not valid either.
 func ParseJob(body []byte) (*Job, error) {
-	values, err := decodeMap(body)
+	values, err := decodeFields(body)
 	if err != nil {
 		return nil, err
 	}
@@ -57,21 +59,106 @@
 	return nil, fields.err
 }
 
-// decodeMap decodes a body that must consist of exactly one map.
-func decodeMap(body []byte) (map[string]any, error) {
-	reader := bytes.NewReader(body)
-	decoder := msgpack.NewDecoder(reader)
-	decoder.UseLooseInterfaceDecoding(true) // all integers become int64 or uint64, all floats float64
-	values, err := decoder.DecodeMap()
-	if err != nil || values == nil {
+// submissionFields has the names on the wire of the fields of Job.
+var submissionFields = fieldNames(reflect.TypeFor[Job]())
+
+// fieldNames returns the names on the wire of a message's fields.
+func fieldNames(message reflect.Type) map[string]bool {
+	names := map[string]bool{}
+	for _, field := range reflect.VisibleFields(message) {
+		name, _, _ := strings.Cut(field.Tag.Get("msgpack"), ",")
+		names[name] = true
+	}
+	return names
+}
+
+// decodeFields decodes a body that must consist of exactly one map. It returns the values of the fields that a
+// submission has. The other fields are ignored.
+func decodeFields(body []byte) (map[string]any, error) {
+	if len(body) == 0 || !isMap(body[0]) {
 		return nil, fmt.Errorf("%w: not a map", ErrMalformed)
 	}
-	if reader.Len() > 0 {
+	size, err := checkStructure(body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if size < len(body) {
 		return nil, fmt.Errorf("%w: bytes after the map", ErrMalformed)
 	}
+	decoder := msgpack.NewDecoder(bytes.NewReader(body))
+	decoder.UseLooseInterfaceDecoding(true) // all integers become int64 or uint64, all floats float64
+	values, err := decodeKnownFields(decoder, submissionFields)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return values, nil
+}
+
+// decodeKnownFields decodes the known fields of a map and skips the other fields.
+func decodeKnownFields(decoder *msgpack.Decoder, known map[string]bool) (map[string]any, error) {
+	entries, err := decoder.DecodeMapLen()
+	if err != nil {
+		return nil, err
+	}
+	values := make(map[string]any, len(known))
+	for range entries {
+		name, err := decoder.DecodeString()
+		if err != nil {
+			return nil, err
+		}
+		if !known[name] {
+			err = decoder.Skip()
+		} else {
+			values[name], err = decodeField(decoder)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
 	return values, nil
 }
 
+// unexpected stands for a list or a map where no field of a submission has one.
+type unexpected struct{}
+
+// decodeField decodes a value: a number, a text, a boolean, nil or a list of these.
+func decodeField(decoder *msgpack.Decoder) (any, error) {
+	code, err := decoder.PeekCode()
+	if err != nil {
+		return nil, err
+	}
+	if !isList(code) {
+		return decodeScalar(decoder)
+	}
+	length, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return nil, err
+	}
+	list := make([]any, 0, min(length, maxTypes+1))
+	for range length {
+		element, err := decodeScalar(decoder)
+		if err != nil {
+			return nil, err
+		}
+		if len(list) <= maxTypes { // one too many shows that the list is too long
+			list = append(list, element)
+		}
+	}
+	return list, nil
+}
+
+// decodeScalar decodes a number, a text, a boolean or nil. It skips a list or a map.
+func decodeScalar(decoder *msgpack.Decoder) (any, error) {
+	code, err := decoder.PeekCode()
+	if err != nil {
+		return nil, err
+	}
+	if isList(code) || isMap(code) {
+		return unexpected{}, decoder.Skip()
+	}
+	return decoder.DecodeInterfaceLoose()
+}
+
 // fieldReader reads the fields of a decoded map. It keeps the first error and continues, so that the ID
 // is read even if another field is not valid.
 type fieldReader struct {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -31,5 +31,12 @@
 // Marshal encodes a message.
 func Marshal(message any) ([]byte, error) { return msgpack.Marshal(message) }
 
-// Unmarshal decodes a message. It ignores unknown fields.
-func Unmarshal(body []byte, message any) error { return msgpack.Unmarshal(body, message) }
+// Unmarshal decodes a message. It ignores unknown fields, and bytes after the message. The error is a
+// *StructureError if the body is not MessagePack as the protocol uses it.
+func Unmarshal(body []byte, message any) error {
+	size, err := checkStructure(body)
+	if err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(body[:size], message)
+}
