Messages may be nested 100 deep

Cause: the library decodes and skips a list or a map by recursion, also in fields that a message does not have, and nothing limited the depth. A goroutine's stack grows by doubling and is copied, so that it is held twice for a moment.

Why the fix works: checkStructure counts the open lists and maps, which the bodies pass before any recursion, and rejects more than 100 of them. The messages of the protocol nest four deep. Its bookkeeping is now an array on the stack.

--- a/wire/structure.go
+++ b/wire/structure.go
@@ -7,6 +7,9 @@
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
+// maxDepth limits how deeply lists and maps may be nested, because the decoder needs stack for each level.
+const maxDepth = 100
+
 // StructureError means that a body is not MessagePack as the protocol uses it.
 type StructureError struct {
 	Offset  int // position in the body, in bytes
@@ -20,20 +23,20 @@
 
 // checkStructure checks the first value in a body and returns its size in bytes. It must precede every decoding,
 // because the decoder allocates memory for as many elements as the header of a list or a map announces. After
-// the check, each announced element, each byte of a text and each key of a map is known to be in the body. The
-// error is a *StructureError.
+// the check, each announced element, each byte of a text and each key of a map is known to be in the body, and the
+// decoder needs little stack. The check itself allocates nothing. The error is a *StructureError.
 func checkStructure(body []byte) (size int, err error) {
 	scan := structureScan{body: body}
 	if err := scan.value(); err != nil {
 		return 0, err
 	}
-	for len(scan.missing) > 0 {
-		innermost := len(scan.missing) - 1
-		if scan.missing[innermost] == 0 {
-			scan.missing = scan.missing[:innermost]
+	for scan.depth > 0 {
+		innermost := &scan.missing[scan.depth-1]
+		if *innermost == 0 {
+			scan.depth--
 			continue
 		}
-		scan.missing[innermost]--
+		*innermost--
 		if err := scan.value(); err != nil {
 			return 0, err
 		}
@@ -44,8 +47,9 @@
 // structureScan is the state of checkStructure.
 type structureScan struct {
 	body    []byte
-	offset  int      // start of the next value in the body
-	missing []uint64 // for each open list or map, the outermost first: how many values have not been read
+	offset  int              // start of the next value in the body
+	missing [maxDepth]uint64 // for each open list or map, the outermost first: how many values have not been read
+	depth   int              // number of open lists and maps
 }
 
 // value reads one value that is neither a list nor a map, or the header of a list or a map.
@@ -150,7 +154,11 @@
 	if values > rest { // each value takes at least one byte
 		return s.fail(fmt.Sprintf("%d elements are announced and %d bytes follow", elements, rest))
 	}
-	s.missing = append(s.missing, values)
+	if s.depth == maxDepth {
+		return s.fail(fmt.Sprintf("lists and maps are nested more than %d deep", maxDepth))
+	}
+	s.missing[s.depth] = values
+	s.depth++
 	s.offset += 1 + lengthBytes
 	return nil
 }
--- a/wire/structure_test.go
+++ b/wire/structure_test.go
@@ -1,6 +1,7 @@
 package wire_test
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"maps"
@@ -130,14 +131,14 @@
 	}
 }
 
-// checkMessage checks what it costs to decode a body as a message, and that a body that is cut off is rejected.
-func checkMessage(t *testing.T, message golden.Message, body []byte, cutOff bool) {
+// checkMessage checks what it costs to decode a body as a message, and that a malformed body is rejected.
+func checkMessage(t *testing.T, message golden.Message, body []byte, malformed bool) {
 	t.Helper()
 	decoded := reflect.New(reflect.TypeOf(message.Zero)).Interface()
 	checkCost(t, body, func() {
-		var malformed *wire.StructureError
-		if err := wire.Unmarshal(body, decoded); cutOff && !errors.As(err, &malformed) {
-			t.Errorf("%s: % x: got %v, want a StructureError", message.Name, body, err)
+		var structureError *wire.StructureError
+		if err := wire.Unmarshal(body, decoded); malformed && !errors.As(err, &structureError) {
+			t.Errorf("%s: % x: got %v, want a StructureError", message.Name, body[:min(len(body), 64)], err)
 		}
 	})
 }
@@ -159,6 +160,7 @@
 		t.Error("a list that is cut off was decoded")
 	}
 	var before, after runtime.MemStats
+	runtime.GC()
 	runtime.ReadMemStats(&before)
 	for range bodies {
 		var status wire.JobStatus
@@ -166,12 +168,60 @@
 			t.Fatal(err)
 		}
 	}
+	runtime.GC()
 	runtime.ReadMemStats(&after)
 	if grown := int64(after.HeapInuse) - int64(before.HeapInuse); grown > maxGrown {
 		t.Errorf("after %d bodies of %d bytes the heap has grown by %d bytes", bodies, len(valid), grown)
 	}
 }
 
+// nestedValues has well-formed values of the protocol's size, in which lists or maps are nested as deeply as possible.
+func nestedValues() map[string][]byte {
+	const size = wire.MaxBodyBytes - 1<<10 // the rest is for the submission around the value
+	return map[string][]byte{
+		"lists":          append(bytes.Repeat([]byte{0x91}, size), 0xc0),
+		"lists of two":   append(bytes.Repeat([]byte{0x92, 0xc0}, size/2), 0xc0),
+		"long lists":     append(bytes.Repeat([]byte{0xdd, 0, 0, 0, 1}, size/5), 0xc0),
+		"maps":           append(bytes.Repeat([]byte{0x81, 0xc0}, size/2), 0xc0),
+		"maps as keys":   slices.Concat(bytes.Repeat([]byte{0x81}, size/2), bytes.Repeat([]byte{0xc0}, size/2+1)),
+		"lists and maps": append(bytes.Repeat([]byte{0x91, 0x81, 0xc0}, size/3), 0xc0),
+	}
+}
+
+// Guards against: a submission of 64 KiB with lists that are nested 60,000 deep took 30 MB while it was decoded, so
+// that a few at a time exceeded the memory of a controller.
+func TestDeepNestingCostsLittle(t *testing.T) {
+	fields := append(slices.Sorted(maps.Keys(validSubmission)), "Builds", "District", "DueS")
+	for name, value := range nestedValues() {
+		t.Run(name, func(t *testing.T) {
+			for _, body := range bodiesWith(value, fields) {
+				onNewStack(func() {
+					checkCost(t, body, func() {
+						if _, err := wire.ParseJob(body); !errors.Is(err, wire.ErrMalformed) {
+							t.Errorf("% x...: got %v, want ErrMalformed", body[:16], err)
+						}
+					})
+				})
+			}
+			for _, message := range messages {
+				for _, body := range bodiesWith(value, fieldNames(message.Zero)) {
+					onNewStack(func() { checkMessage(t, message, body, true) })
+				}
+			}
+		})
+	}
+}
+
+// onNewStack calls a function on a stack of its own, which the calls before have not grown.
+func onNewStack(call func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		call()
+	}()
+	<-done
+}
+
 // Checks that the error for a malformed submission is one line that tells what is wrong and where.
 func TestStructureErrorTellsProblem(t *testing.T) {
 	for _, test := range []struct {
@@ -184,6 +234,7 @@
 		{[]byte{0x81, 0xa1, 'x', 0xd4, 0x00, 0x00}, "byte 3: an extension type, which the protocol does not have"},
 		{[]byte{0x81, 0xa1, 'x', 0xc1}, "byte 3: an unknown type"},
 		{[]byte{0x81, 0xa1, 'x', 0xdd, 0x00}, "byte 3: the body ends within a length"},
+		{append(bytes.Repeat([]byte{0x81, 0xc0}, 101), 0xc0), "byte 200: lists and maps are nested more than 100 deep"},
 	} {
 		_, err := wire.ParseJob(test.body)
 		if want := fmt.Sprintf("malformed: not MessagePack: %s", test.want); err == nil || err.Error() != want {
