An entry of a list needs a name

What callers saw: nothing yet; found while looking for the same cause on related paths. A well-formed heartbeat of 64 KiB whose list of tasks has 64,000 empty maps, or nils, took 4 to 8 MB, as did pages of the state service and the cloud: a few at a time exceed the memory of a small controller.

Cause: an element of one byte becomes a struct of 64 bytes and more, and the library makes room for all of them twice (it allocates a list and appends it to an empty one).

Why the fix works: tasks, commands, machine types, machines, keys and events stand in a wire.List, which reads entry by entry, ends at the first without a name, and allocates in advance only for entries of a usual size. A controller's messages then cost at most 16 bytes for each byte of a body. The bound is half of the memory, if bodies that are being read take a 32nd of it.

--- a/wire/cloud.go
+++ b/wire/cloud.go
@@ -23,7 +23,7 @@
 
 // Catalog lists the machine types of the cloud.
 type Catalog struct {
-	Types []MachineType `msgpack:"Builds"`
+	Types List[MachineType] `msgpack:"Builds"`
 }
 
 // ScaleOutRequest asks the cloud for machines.
@@ -53,6 +53,6 @@
 
 // MachinePage is a page of the cloud's list of machines, ordered by machine ID.
 type MachinePage struct {
-	Machines []Machine `msgpack:"Hosts"`
-	More     bool      `msgpack:"More"`
+	Machines List[Machine] `msgpack:"Hosts"`
+	More     bool          `msgpack:"More"`
 }
--- a/wire/kvstore.go
+++ b/wire/kvstore.go
@@ -12,9 +12,9 @@
 
 // KeyValuePage is a page of keys with their values, ordered by key.
 type KeyValuePage struct {
-	Items    []KeyValue `msgpack:"Entries"`
-	More     bool       `msgpack:"More"`
-	Revision uint64     `msgpack:"Epoch"` // revision of the store when the page was read
+	Items    List[KeyValue] `msgpack:"Entries"`
+	More     bool           `msgpack:"More"`
+	Revision uint64         `msgpack:"Epoch"` // revision of the store when the page was read
 }
 
 // Condition is a condition of a transaction: the key must have the version. Version 0 means that the key
@@ -61,6 +61,6 @@
 
 // Events is the response to a watch.
 type Events struct {
-	Revision uint64  `msgpack:"Epoch"` // revision up to which all changes are included
-	Events   []Event `msgpack:"Events"`
+	Revision uint64      `msgpack:"Epoch"` // revision up to which all changes are included
+	Events   List[Event] `msgpack:"Events"`
 }
--- a/wire/structure_test.go
+++ b/wire/structure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"maps"
@@ -212,6 +213,67 @@
 	}
 }
 
+// emptyElements has the smallest well-formed elements that a list can have.
+var emptyElements = map[string]byte{"nil": 0xc0, "map": 0x80, "list": 0x90, "text": 0xa0, "number": 0x01}
+
+// listOf returns a list of the protocol's size whose elements are all alike.
+func listOf(element byte) []byte {
+	const length = wire.MaxBodyBytes - 1<<10 // the rest is for the message around the list
+	return append(binary.BigEndian.AppendUint32([]byte{0xdd}, length), bytes.Repeat([]byte{element}, length)...)
+}
+
+// controllerMessages returns the messages that controllers decode.
+func controllerMessages() []golden.Message {
+	return slices.DeleteFunc(slices.Clone(messages), func(message golden.Message) bool {
+		switch message.Zero.(type) {
+		case wire.JobList, wire.Schedules, wire.Schedule, wire.Txn, wire.Mutation: // decoded by commands and by the emulator
+			return true
+		}
+		return false
+	})
+}
+
+// Guards against: a heartbeat of 64 KiB with 64,000 tasks that have no names took 8 MB, as did pages of the state
+// service and the cloud with such entries.
+func TestEmptyElementsCostLittle(t *testing.T) {
+	fields := append(slices.Sorted(maps.Keys(validSubmission)), "Builds", "District", "DueS")
+	for name, element := range emptyElements {
+		t.Run(name, func(t *testing.T) {
+			for _, body := range bodiesWith(listOf(element), fields) {
+				checkCost(t, body, func() {
+					if _, err := wire.ParseJob(body); !errors.Is(err, wire.ErrMalformed) {
+						t.Errorf("% x...: got %v, want ErrMalformed", body[:16], err)
+					}
+				})
+			}
+			for _, message := range controllerMessages() {
+				for _, body := range bodiesWith(listOf(element), fieldNames(message.Zero)) {
+					checkMessage(t, message, body, false)
+				}
+			}
+		})
+	}
+}
+
+// Checks that a heartbeat with a task that has no name is rejected, whatever the other tasks are.
+func TestTaskWithoutNameIsRejected(t *testing.T) {
+	for name, tasks := range map[string][]wire.TaskStatus{
+		"alone": {{Attempt: 1, State: wire.TaskRunning}},
+		"last":  {{Task: "j-1/0", Attempt: 1, State: wire.TaskRunning}, {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			body, err := wire.Marshal(wire.Heartbeat{Host: "n-1", Tasks: tasks})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var heartbeat wire.Heartbeat
+			if err := wire.Unmarshal(body, &heartbeat); err == nil {
+				t.Errorf("%+v was decoded", heartbeat)
+			}
+		})
+	}
+}
+
 // onNewStack calls a function on a stack of its own, which the calls before have not grown.
 func onNewStack(call func()) {
 	done := make(chan struct{})
--- a/wire/worker.go
+++ b/wire/worker.go
@@ -40,16 +40,16 @@
 // Heartbeat describes a worker's machine and all tasks on it. Of two heartbeats, the one with the larger
 // Incarnation is newer. If the incarnations are equal, the one with the larger Sequence is newer.
 type Heartbeat struct {
-	Host              string       `msgpack:"Host"`
-	Addr              string       `msgpack:"Addr"`     // host:port to which controllers send commands directly
-	Type              string       `msgpack:"Build"`    // machine type
-	Zone              string       `msgpack:"District"` // availability zone
-	Spot              bool         `msgpack:"Loaners"`
-	Incarnation       uint64       `msgpack:"Tenure"`  // starts at 1; increases with each expiry of the worker's lease
-	Sequence          uint64       `msgpack:"Tick"`    // increases with each message of the worker
-	FencingToken      uint64       `msgpack:"Warrant"` // highest token that the worker has seen
-	PreemptionNoticeS *float64     `msgpack:"RecallS"` // seconds until the cloud reclaims the machine; nil: no notice
-	Tasks             []TaskStatus `msgpack:"Pieces"`  // includes exited tasks until a Clear command removes them
+	Host              string           `msgpack:"Host"`
+	Addr              string           `msgpack:"Addr"`     // host:port to which controllers send commands directly
+	Type              string           `msgpack:"Build"`    // machine type
+	Zone              string           `msgpack:"District"` // availability zone
+	Spot              bool             `msgpack:"Loaners"`
+	Incarnation       uint64           `msgpack:"Tenure"`  // starts at 1; increases with each expiry of the worker's lease
+	Sequence          uint64           `msgpack:"Tick"`    // increases with each message of the worker
+	FencingToken      uint64           `msgpack:"Warrant"` // highest token that the worker has seen
+	PreemptionNoticeS *float64         `msgpack:"RecallS"` // seconds until the cloud reclaims the machine; nil: no notice
+	Tasks             List[TaskStatus] `msgpack:"Pieces"`  // includes exited tasks until a Clear command removes them
 }
 
 // Command is one command to a worker.
@@ -63,8 +63,8 @@
 // HeartbeatResponse is the response to a heartbeat with status 200. The worker drops the response if its
 // token is lower than a token that the worker has seen before.
 type HeartbeatResponse struct {
-	FencingToken uint64    `msgpack:"Warrant"`
-	Commands     []Command `msgpack:"Orders"` // executed in this order
+	FencingToken uint64        `msgpack:"Warrant"`
+	Commands     List[Command] `msgpack:"Orders"` // executed in this order
 }
 
 // Redirect is the response to a heartbeat with status 421.
@@ -75,7 +75,7 @@
 // CommandBatch is the body of a request that sends commands directly to a worker. The worker executes
 // the commands only if the fencing token and the incarnation still match.
 type CommandBatch struct {
-	FencingToken uint64    `msgpack:"Warrant"`
-	Incarnation  uint64    `msgpack:"Tenure"`
-	Commands     []Command `msgpack:"Orders"`
+	FencingToken uint64        `msgpack:"Warrant"`
+	Incarnation  uint64        `msgpack:"Tenure"`
+	Commands     List[Command] `msgpack:"Orders"`
 }
