Bodies that are handled at a time stay within a share of the memory

What callers saw: nothing yet; found while trying the related paths with many requests at once. With 600 connections that send valid reports of 64 KiB, a controller with the settings of the smallest deployment (98 MB) took 225 MB, for which the platform ends it; and submissions of 64 KiB that arrive slowly on 600 connections took it to 92 MB.

Cause: each connection may have a body of the protocol's size read, decoded and waiting for the controller at the same time, and nothing counted them: 736 connections are 46 MB of bodies, several times that with what is decoded from them.

Why the fix works: a body is read only once there is room for it in a share of the memory, a 64th for submissions and a 32nd for reports, and keeps its room until the request is handled. Others wait, and get 429 when their time is over. The two kinds have rooms of their own, so that slow users keep no worker's lease from being renewed. A body that has not arrived within the read timeout, now 4 s as users give up after 5, gets 503 in place of 400, which is never repeated.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -49,12 +48,14 @@
 
 // Handler returns the handler for all paths of a service, with metrics as the handler of /metrics.
 // The paths of JobLister and ScheduleService are served if the service implements these interfaces.
-func Handler(service Service, metrics http.Handler) http.Handler {
+// A share of the process's memory, in megabytes, limits the bodies that are handled at a time.
+func Handler(service Service, metrics http.Handler, memoryMB float64) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics)
 	mux.HandleFunc("GET "+wire.PathHealth, handleHealth(service))
-	mux.HandleFunc("POST "+wire.PathHeartbeat, handleHeartbeat(service))
-	routeJobs(mux, service)
+	mux.HandleFunc("POST "+wire.PathHeartbeat,
+		handleHeartbeat(service, newBodyReader(maxHeartbeatBytes, memoryMB, heartbeatMemoryShare)))
+	routeJobs(mux, service, newBodyReader(wire.MaxBodyBytes, memoryMB, submissionMemoryShare))
 	if lister, ok := service.(JobLister); ok {
 		routeJobList(mux, lister)
 	}
@@ -90,13 +91,18 @@
 	}
 }
 
-func handleHeartbeat(service Service) http.HandlerFunc {
+func handleHeartbeat(service Service, bodies *bodyReader) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), heartbeatTimeout)
 		defer cancel()
+		body, release, err := bodies.read(ctx, w, r)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		defer release()
 		var heartbeat wire.Heartbeat
-		body, err := io.ReadAll(io.LimitReader(r.Body, maxHeartbeatBytes))
-		if err != nil || wire.Unmarshal(body, &heartbeat) != nil || heartbeat.Host == "" {
+		if wire.Unmarshal(body, &heartbeat) != nil || heartbeat.Host == "" {
 			writeError(w, wire.ErrMalformed)
 			return
 		}
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -36,13 +36,22 @@
 }
 func (f *fakeService) Ready() error { return f.err }
 
-func serve(t *testing.T, f *fakeService) string {
+// memoryMB is the memory of the smallest deployment's controllers.
+const memoryMB = 98
+
+func serve(t *testing.T, f Service) string {
+	t.Helper()
+	return serveConns(t, f, 100)
+}
+
+// serveConns serves a service with a socket budget.
+func serveConns(t *testing.T, f Service, sockets int) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := NewServer(Handler(f, http.NotFoundHandler()), 100)
+	srv := NewServer(Handler(f, http.NotFoundHandler(), memoryMB), sockets)
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	return "http://" + l.Addr().String()
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
@@ -19,8 +18,8 @@
 }
 
 // routeJobs registers the paths for submitting, querying and cancelling a job.
-func routeJobs(mux *http.ServeMux, service Service) {
-	mux.HandleFunc("POST "+wire.PathJobs, handleSubmit(service))
+func routeJobs(mux *http.ServeMux, service Service, bodies *bodyReader) {
+	mux.HandleFunc("POST "+wire.PathJobs, handleSubmit(service, bodies))
 	route(mux, "GET "+wire.PathJobs+"/{id}", queryTimeout, func(ctx context.Context, r *http.Request) (any, error) {
 		id, err := jobID(r)
 		if err != nil {
@@ -47,15 +46,16 @@
 	return id, nil
 }
 
-func handleSubmit(service Service) http.HandlerFunc {
+func handleSubmit(service Service, bodies *bodyReader) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
 		defer cancel()
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes))
+		body, release, err := bodies.read(ctx, w, r)
 		if err != nil {
-			writeError(w, wire.ErrMalformed)
+			writeError(w, err)
 			return
 		}
+		defer release()
 		status, created, err := submit(ctx, service, body)
 		switch {
 		case err != nil:
--- a/internal/api/malformed_test.go
+++ b/internal/api/malformed_test.go
@@ -1,10 +1,16 @@
 package api
 
 import (
+	"bufio"
 	"bytes"
+	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"dalefront/wire"
 )
@@ -53,3 +59,115 @@
 		t.Errorf("got %d for a valid submission, want %d", response.StatusCode, http.StatusCreated)
 	}
 }
+
+// sockets is the socket budget of the smallest deployment's controllers.
+const sockets = 800
+
+// slowService handles heartbeats slowly and records how many it handles at a time.
+type slowService struct {
+	fakeService
+	delay time.Duration
+
+	mu            sync.Mutex
+	active, peak  int
+	handled, late int
+}
+
+func (s *slowService) Heartbeat(ctx context.Context, _ *wire.Heartbeat) (wire.HeartbeatResponse, error) {
+	s.mu.Lock()
+	s.active++
+	s.peak = max(s.peak, s.active)
+	s.mu.Unlock()
+	time.Sleep(s.delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+	s.handled++
+	if ctx.Err() != nil {
+		s.late++
+	}
+	return wire.HeartbeatResponse{FencingToken: 7}, nil
+}
+
+// largeHeartbeat returns a valid heartbeat of nearly the protocol's size.
+func largeHeartbeat(t *testing.T) []byte {
+	t.Helper()
+	const taskBytes = 50
+	heartbeat := wire.Heartbeat{Host: "n-1"}
+	for i := range wire.MaxBodyBytes / taskBytes {
+		heartbeat.Tasks = append(heartbeat.Tasks, wire.TaskStatus{Task: wire.TaskName("j-000412", int32(i)), Attempt: 2, State: wire.TaskRunning})
+	}
+	body, err := wire.Marshal(heartbeat)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
+// Guards against: 600 heartbeats of 64 KiB at once took a controller to 225 MB, because nothing limited the bodies
+// that were decoded at a time. All of them must be handled, a few at a time.
+func TestBodiesAtOnceStayWithinMemory(t *testing.T) {
+	const requests = 150
+	body := largeHeartbeat(t)
+	service := &slowService{delay: 200 * time.Millisecond}
+	url := serveConns(t, service, sockets) + wire.PathHeartbeat
+	var clients sync.WaitGroup
+	for range requests {
+		clients.Go(func() {
+			response, err := http.Post(url, contentType, bytes.NewReader(body))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_ = response.Body.Close()
+			if response.StatusCode != http.StatusOK {
+				t.Errorf("got status %d, want %d", response.StatusCode, http.StatusOK)
+			}
+		})
+	}
+	clients.Wait()
+	if limit := int(memoryMB * heartbeatMemoryShare * bytesPerMB / float64(len(body))); service.peak > limit {
+		t.Errorf("%d bodies were handled at a time, want %d at most", service.peak, limit)
+	}
+	if service.handled != requests || service.late > 0 {
+		t.Errorf("%d of %d heartbeats were handled, %d too late", service.handled, requests, service.late)
+	}
+}
+
+// Checks that users who announce large bodies and send nothing keep no worker waiting, get 503, which is repeated,
+// and don't keep other users waiting for longer than the read timeout.
+func TestSlowBodiesDelayOnlyTheirKind(t *testing.T) {
+	const slowUsers = 60
+	address := strings.TrimPrefix(serveConns(t, &fakeService{}, sockets), "http://")
+	var answers sync.WaitGroup
+	for range slowUsers {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", wire.PathJobs, wire.MaxBodyBytes)
+		answers.Go(func() {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_ = response.Body.Close()
+			if code := response.StatusCode; code != http.StatusServiceUnavailable && code != http.StatusTooManyRequests {
+				t.Errorf("got status %d for a body that has not arrived", code)
+			}
+		})
+	}
+	heartbeat, _ := wire.Marshal(wire.Heartbeat{Host: "n-1"})
+	start := time.Now()
+	response, _ := send(t, http.MethodPost, "http://"+address+wire.PathHeartbeat, heartbeat)
+	if took := time.Since(start); response.StatusCode != http.StatusOK || took > time.Second {
+		t.Errorf("a heartbeat got status %d after %v", response.StatusCode, took)
+	}
+	answers.Wait()
+	submission, _ := wire.Marshal(job())
+	if response, _ := send(t, http.MethodPost, "http://"+address+wire.PathJobs, submission); response.StatusCode != http.StatusCreated {
+		t.Errorf("a submission got status %d afterwards, want %d", response.StatusCode, http.StatusCreated)
+	}
+}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -13,7 +13,7 @@
 	minConns        = 16       // connections that workers and users may open even if the socket budget is smaller
 
 	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 10 * time.Second
+	readTimeout       = 4 * time.Second // above the time limits for handling a request, so that it doesn't end one
 	writeTimeout      = 10 * time.Second
 	idleTimeout       = 60 * time.Second
 )
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -188,7 +188,8 @@
 		return err
 	}
 	sockets := c.settings.Deployment.Resources.Sockets
-	httpServer := api.NewServer(api.Handler(c, c.metrics()), sockets-maxIdleWorkerConns(sockets))
+	handler := api.Handler(c, c.metrics(), c.settings.Deployment.Resources.MemoryMB)
+	httpServer := api.NewServer(handler, sockets-maxIdleWorkerConns(sockets))
 	rpcServer := peer.NewServer(c, sockets)
 	failed := make(chan error, 2)
 	go func() { failed <- httpServer.Serve(userListener) }()
--- a/wire/structure_test.go
+++ b/wire/structure_test.go
@@ -16,8 +16,8 @@
 	"dalefront/wire"
 )
 
-// A controller may use a 32nd of its memory for bodies that are being decoded. Decoding then takes at most half of
-// the memory if each byte of a body costs no more than maxCostPerByte bytes.
+// The bodies of requests may take three 64ths of a controller's memory at a time (package api). Decoded they take at
+// most three quarters of it if each byte of a body costs no more than maxCostPerByte bytes.
 const (
 	maxCostPerByte = 16
 	fixedCost      = 128 << 10 // bytes, whatever the size of the body; the runtime takes stacks in spans of 32 KiB
