HCL files are parsed only if they are not nested too deeply

What callers saw: nothing yet; found while looking for the same cause on related paths. An operator's file of 64 KiB with nested lists, objects or templates ended `dalefront check`, and so a controller at its start, with "goroutine stack exceeds-byte limit" after 1 GB; parentheses, blocks and conditions of that size took 0.2 to 1 GB. Calendars, documents of the configuration, experiments and sites are read by the same parser.

Cause: the parser and the evaluation recurse for each bracket, operator and block, and nothing limited them. A stack that grows past Go's limit is no panic that could be contained.

Every HCL file is now read through it.

--- a/internal/calendar/file.go
+++ b/internal/calendar/file.go
@@ -13,7 +13,6 @@
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclparse"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
 	"dalefront/internal/hclfile"
@@ -58,7 +57,7 @@
 	if len(source) > maxFileBytes {
 		return nil, fmt.Errorf("%s: larger than %d bytes", name, maxFileBytes)
 	}
-	file, diagnostics := hclparse.NewParser().ParseHCL(source, name)
+	file, diagnostics := hclfile.Parse(source, name)
 	if diagnostics.HasErrors() {
 		return nil, firstError(diagnostics)
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"os"
 	"path/filepath"
 	"reflect"
 	"slices"
@@ -12,7 +13,8 @@
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclparse"
+
+	"dalefront/internal/hclfile"
 )
 
 const (
@@ -205,7 +207,11 @@
 // load reads an HCL file. It joins relative paths in the file to the file's directory. The resulting paths are
 // absolute or relative to the working directory.
 func (o *Operator) load(path string) error {
-	file, diagnostics := hclparse.NewParser().ParseHCLFile(path)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	file, diagnostics := hclfile.Parse(text, path)
 	if !diagnostics.HasErrors() {
 		diagnostics = gohcl.DecodeBody(file.Body, nil, o)
 	}
@@ -236,7 +242,7 @@
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		fmt.Fprintf(&text, "%s = %s\n", name, strconv.FormatFloat(values[name], 'f', -1, 64))
 	}
-	file, diagnostics := hclparse.NewParser().ParseHCL(text.Bytes(), "settings")
+	file, diagnostics := hclfile.Parse(text.Bytes(), "settings")
 	if !diagnostics.HasErrors() {
 		diagnostics = gohcl.DecodeBody(file.Body, nil, &s.Operator)
 	}
--- a/internal/hclfile/hclfile.go
+++ b/internal/hclfile/hclfile.go
@@ -11,7 +11,7 @@
 
 // Decode decodes text into a struct with hcl tags. The file's name is used in errors.
 func Decode(text []byte, name string, into any) error {
-	f, diags := hclparse.NewParser().ParseHCL(text, name)
+	f, diags := Parse(text, name)
 	if !diags.HasErrors() {
 		diags = gohcl.DecodeBody(f.Body, nil, into)
 	}
@@ -21,6 +21,15 @@
 	return nil
 }
 
+// Parse parses text. The file's name is used in the diagnostics. A text that is nested too deeply for the parser
+// is not parsed.
+func Parse(text []byte, name string) (*hcl.File, hcl.Diagnostics) {
+	if diags := checkNesting(text, name); diags.HasErrors() {
+		return nil, diags
+	}
+	return hclparse.NewParser().ParseHCL(text, name)
+}
+
 // FirstError returns the first diagnostic as an error. The file's name is used if the diagnostic has no
 // position.
 func FirstError(diags hcl.Diagnostics, name string) error {
