Messages of other controllers cost memory in proportion to their size

What callers saw: nothing yet; found while looking for the same cause on related paths. What was left: contacts, task counts and changes of the configuration without a name took up to 140 bytes for each byte of a message of up to 1 MiB, and a controller took answers of 32 MiB, which only operators' commands receive.

Why the fix works: these lists are wire.Lists too, and answers between controllers are limited to 1 MiB, above the largest one (MaxWorkerContacts).

--- a/internal/dynconfig/document.go
+++ b/internal/dynconfig/document.go
@@ -34,6 +34,9 @@
 // ID returns the identifier of a document in commands and messages, KIND/NAME.
 func (d *Document) ID() string { return d.Kind + "/" + d.Name }
 
+// EntryName returns the document's kind and name. Either may be invalid, but not both empty.
+func (d Document) EntryName() string { return d.Kind + d.Name }
+
 // Team lowers a team's guarantees and limits, which are numbers of CPUs and GPUs. A nil field keeps
 // the value of the platform's settings.
 type Team struct {
--- a/internal/malformed/malformed.go
+++ b/internal/malformed/malformed.go
@@ -15,14 +15,14 @@
 )
 
 // The bodies of requests may take three 64ths of a controller's memory at a time (package api). Decoded they take at
-// most three quarters of it if each byte of a body costs no more than maxCostPerByte bytes.
+// most three quarters of it if each byte of a body costs no more than allowedCostPerByte bytes.
 const (
-	maxCostPerByte = 16
-	fixedCost      = 128 << 10 // bytes, whatever the size of the body; the runtime takes stacks in spans of 32 KiB
+	allowedCostPerByte = 16
+	fixedCost          = 128 << 10 // bytes, whatever the size of the body; the runtime takes stacks in spans of 32 KiB
 )
 
-// valueBytes is the size of the large values, so that a message with one has at most the protocol's size.
-const valueBytes = wire.MaxBodyBytes - 1<<10
+// valueSize is the size of the large values, so that a message with one has at most the protocol's size.
+const valueSize = wire.MaxBodyBytes - 1<<10
 
 // CheckCost fails the test if decoding a body costs memory out of proportion to its size. It calls decode on a new
 // stack.
@@ -39,7 +39,7 @@
 	<-done
 	heap := after.TotalAlloc - before.TotalAlloc
 	stack := max(after.StackInuse, before.StackInuse) - before.StackInuse
-	if limit := uint64(maxCostPerByte*len(body) + fixedCost); heap+stack > limit {
+	if limit := uint64(allowedCostPerByte*len(body) + fixedCost); heap+stack > limit {
 		t.Errorf("a body of %d bytes, % x..., cost %d bytes of heap and %d of stack, want %d at most",
 			len(body), Start(body), heap, stack, limit)
 	}
@@ -85,12 +85,12 @@
 // Nested returns well-formed values of the protocol's size, in which lists or maps are nested as deeply as possible.
 func Nested() map[string][]byte {
 	return map[string][]byte{
-		"lists":          append(bytes.Repeat([]byte{0x91}, valueBytes), 0xc0),
-		"lists of two":   append(bytes.Repeat([]byte{0x92, 0xc0}, valueBytes/2), 0xc0),
-		"long lists":     append(bytes.Repeat([]byte{0xdd, 0, 0, 0, 1}, valueBytes/5), 0xc0),
-		"maps":           append(bytes.Repeat([]byte{0x81, 0xc0}, valueBytes/2), 0xc0),
-		"maps as keys":   slices.Concat(bytes.Repeat([]byte{0x81}, valueBytes/2), bytes.Repeat([]byte{0xc0}, valueBytes/2+1)),
-		"lists and maps": append(bytes.Repeat([]byte{0x91, 0x81, 0xc0}, valueBytes/3), 0xc0),
+		"lists":          append(bytes.Repeat([]byte{0x91}, valueSize), 0xc0),
+		"lists of two":   append(bytes.Repeat([]byte{0x92, 0xc0}, valueSize/2), 0xc0),
+		"long lists":     append(bytes.Repeat([]byte{0xdd, 0, 0, 0, 1}, valueSize/5), 0xc0),
+		"maps":           append(bytes.Repeat([]byte{0x81, 0xc0}, valueSize/2), 0xc0),
+		"maps as keys":   slices.Concat(bytes.Repeat([]byte{0x81}, valueSize/2), bytes.Repeat([]byte{0xc0}, valueSize/2+1)),
+		"lists and maps": append(bytes.Repeat([]byte{0x91, 0x81, 0xc0}, valueSize/3), 0xc0),
 	}
 }
 
@@ -98,8 +98,8 @@
 func Lists() map[string][]byte {
 	lists := map[string][]byte{}
 	for name, element := range map[string]byte{"nil": 0xc0, "map": 0x80, "list": 0x90, "text": 0xa0, "number": 0x01} {
-		header := binary.BigEndian.AppendUint32([]byte{0xdd}, valueBytes)
-		lists[name] = append(header, bytes.Repeat([]byte{element}, valueBytes)...)
+		header := binary.BigEndian.AppendUint32([]byte{0xdd}, valueSize)
+		lists[name] = append(header, bytes.Repeat([]byte{element}, valueSize)...)
 	}
 	return lists
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,10 +10,14 @@
 	"google.golang.org/grpc/credentials/insecure"
 )
 
-// maxResponseBytes limits the size of a response. The largest response is the configuration with its
-// history: 200 generations, each of which may have changed many documents. Only operators' commands
-// receive this response. Responses between controllers stay below a megabyte.
-const maxResponseBytes = 32 << 20
+const (
+	// maxResponseBytes limits the size of a response between controllers. The largest response has
+	// MaxWorkerContacts contacts.
+	maxResponseBytes = 1 << 20
+	// maxConfigResponseBytes limits the size of a response that only operators' commands receive. The largest is
+	// the configuration with its history: 200 generations, each of which may have changed many documents.
+	maxConfigResponseBytes = 32 << 20
+)
 
 const (
 	heartbeatTimeout = 800 * time.Millisecond
@@ -47,11 +51,11 @@
 func (c *Client) Close() error { return c.conn.Close() }
 
 // call invokes a method of the peer with a timeout.
-func call[Out any](ctx context.Context, c *Client, timeout time.Duration, method string, in any) (*Out, error) {
+func call[Out any](ctx context.Context, c *Client, timeout time.Duration, method string, in any, options ...grpc.CallOption) (*Out, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	out := new(Out)
-	return out, c.conn.Invoke(ctx, "/"+serviceName+"/"+method, in, out)
+	return out, c.conn.Invoke(ctx, "/"+serviceName+"/"+method, in, out, options...)
 }
 
 // Heartbeat sends what this controller knows about the leader's term, and returns what the peer knows
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -4,18 +4,21 @@
 	"context"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"dalefront/internal/dynconfig"
+	"dalefront/wire"
 )
 
 // ConfigApplyRequest asks a controller to change the configuration.
 type ConfigApplyRequest struct {
-	ID           string             `msgpack:"i"` // idempotency key: repeated requests with the same ID take effect once
-	Author       string             `msgpack:"b"`
-	Changes      []dynconfig.Change `msgpack:"c"`
-	RollbackTo   *uint64            `msgpack:"r,omitempty"` // if set, the generation to restore instead of Changes
-	IfGeneration *uint64            `msgpack:"g,omitempty"` // apply only if this generation is active
-	Retry        bool               `msgpack:"a,omitempty"` // the request was sent before, and its response was lost
-	DryRun       bool               `msgpack:"d,omitempty"`
+	ID           string                      `msgpack:"i"` // idempotency key: repeated requests with the same ID take effect once
+	Author       string                      `msgpack:"b"`
+	Changes      wire.List[dynconfig.Change] `msgpack:"c"`
+	RollbackTo   *uint64                     `msgpack:"r,omitempty"` // if set, the generation to restore instead of Changes
+	IfGeneration *uint64                     `msgpack:"g,omitempty"` // apply only if this generation is active
+	Retry        bool                        `msgpack:"a,omitempty"` // the request was sent before, and its response was lost
+	DryRun       bool                        `msgpack:"d,omitempty"`
 }
 
 // ConfigOutcome is the outcome of a requested configuration change.
@@ -46,10 +49,10 @@
 
 // ConfigReadResponse is the active configuration.
 type ConfigReadResponse struct {
-	Generation uint64               `msgpack:"g"`
-	Documents  []dynconfig.Document `msgpack:"d"`
-	History    []dynconfig.History  `msgpack:"h,omitempty"` // newest generation first
-	Reason     string               `msgpack:"w,omitempty"` // why the configuration could not be read
+	Generation uint64                        `msgpack:"g"`
+	Documents  wire.List[dynconfig.Document] `msgpack:"d"`
+	History    []dynconfig.History           `msgpack:"h,omitempty"` // newest generation first
+	Reason     string                        `msgpack:"w,omitempty"` // why the configuration could not be read
 }
 
 // ConfigStatusRequest asks which configuration a controller uses.
@@ -74,12 +77,12 @@
 
 // ConfigApply asks the controller to change the configuration.
 func (c *Client) ConfigApply(ctx context.Context, request *ConfigApplyRequest) (*ConfigApplyResponse, error) {
-	return call[ConfigApplyResponse](ctx, c, applyResponseTimeout, methodConfigApply, request)
+	return call[ConfigApplyResponse](ctx, c, applyResponseTimeout, methodConfigApply, request, grpc.MaxCallRecvMsgSize(maxConfigResponseBytes))
 }
 
 // ConfigRead returns the stored configuration.
 func (c *Client) ConfigRead(ctx context.Context, request *ConfigReadRequest) (*ConfigReadResponse, error) {
-	return call[ConfigReadResponse](ctx, c, configReadTimeout, methodConfigRead, request)
+	return call[ConfigReadResponse](ctx, c, configReadTimeout, methodConfigRead, request, grpc.MaxCallRecvMsgSize(maxConfigResponseBytes))
 }
 
 // ConfigStatus returns which configuration the controller uses.
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -9,25 +9,27 @@
 	"dalefront/internal/golden"
 )
 
+// messages has the zero value of every message.
+var messages = []golden.Message{
+	{Name: "hello", Zero: Heartbeat{}},
+	{Name: "heard", Zero: WorkerContact{}},
+	{Name: "relay", Zero: RelayRequest{}},
+	{Name: "answer to a relay", Zero: RelayResponse{}},
+	{Name: "counts", Zero: TaskCountsRequest{}},
+	{Name: "answer to counts", Zero: TaskCountsResponse{}},
+	{Name: "handover", Zero: TransferRequest{}},
+	{Name: "answer to a handover", Zero: TransferResponse{}},
+	{Name: "apply", Zero: ConfigApplyRequest{}},
+	{Name: "answer to an apply", Zero: ConfigApplyResponse{}},
+	{Name: "read", Zero: ConfigReadRequest{}},
+	{Name: "answer to a read", Zero: ConfigReadResponse{}},
+	{Name: "status", Zero: ConfigStatusRequest{}},
+	{Name: "answer to status", Zero: ConfigStatusResponse{}},
+}
+
 // The encoding of the messages matches testdata/messages.golden, so that controllers of two versions
 // understand each other during an upgrade.
 func TestMessageEncodings(t *testing.T) {
-	messages := []golden.Message{
-		{Name: "hello", Zero: Heartbeat{}},
-		{Name: "heard", Zero: WorkerContact{}},
-		{Name: "relay", Zero: RelayRequest{}},
-		{Name: "answer to a relay", Zero: RelayResponse{}},
-		{Name: "counts", Zero: TaskCountsRequest{}},
-		{Name: "answer to counts", Zero: TaskCountsResponse{}},
-		{Name: "handover", Zero: TransferRequest{}},
-		{Name: "answer to a handover", Zero: TransferResponse{}},
-		{Name: "apply", Zero: ConfigApplyRequest{}},
-		{Name: "answer to an apply", Zero: ConfigApplyResponse{}},
-		{Name: "read", Zero: ConfigReadRequest{}},
-		{Name: "answer to a read", Zero: ConfigReadResponse{}},
-		{Name: "status", Zero: ConfigStatusRequest{}},
-		{Name: "answer to status", Zero: ConfigStatusResponse{}},
-	}
 	golden.Messages(t, "messages.golden", messages)
 	golden.CheckCoverage(t, messages)
 }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -8,11 +8,11 @@
 // Heartbeat tells a peer what the sender knows about the leader's term. The peer may rely on a heartbeat
 // only where a late or wrong heartbeat is harmless. Information under a higher token always takes precedence.
 type Heartbeat struct {
-	From         string          `msgpack:"f"`
-	Leader       string          `msgpack:"l"`
-	Token        uint64          `msgpack:"t"`
-	WantContacts bool            `msgpack:"a,omitempty"` // asks the peer to respond with Contacts
-	Contacts     []WorkerContact `msgpack:"h,omitempty"`
+	From         string                   `msgpack:"f"`
+	Leader       string                   `msgpack:"l"`
+	Token        uint64                   `msgpack:"t"`
+	WantContacts bool                     `msgpack:"a,omitempty"` // asks the peer to respond with Contacts
+	Contacts     wire.List[WorkerContact] `msgpack:"h,omitempty"`
 
 	// Peers of an earlier version do not send any of the following fields.
 	Leading        bool   `msgpack:"x,omitempty"` // the sender acts as leader under Token
@@ -39,6 +39,9 @@
 	AgeMicros int64  `msgpack:"a"`
 }
 
+// EntryName returns the worker's name.
+func (c WorkerContact) EntryName() string { return c.Host }
+
 // MaxWorkerContacts limits the number of workers in one heartbeat response. With names of 40 bytes the
 // response stays below the message size limit.
 const MaxWorkerContacts = 16_384
@@ -61,7 +64,7 @@
 
 // TaskCountsResponse has the task counts of those jobs that the leader knows.
 type TaskCountsResponse struct {
-	Jobs []wire.JobStatus `msgpack:"j"`
+	Jobs wire.List[wire.JobStatus] `msgpack:"j"`
 }
 
 // TransferRequest asks a controller to transfer leadership if it is the leader under Token.
--- a/wire/list.go
+++ b/wire/list.go
@@ -13,8 +13,8 @@
 
 // Named is an entry of a List.
 type Named interface {
-	// entryName returns what identifies the entry. It is empty if the entry is malformed.
-	entryName() string
+	// EntryName returns what identifies the entry. It is empty if the entry is malformed.
+	EntryName() string
 }
 
 // minEntryBytes is the size in a body from which entries have their memory allocated in advance. Entries with a name
@@ -35,7 +35,7 @@
 		if err := decoder.DecodeValue(reflect.ValueOf(entry).Elem()); err != nil {
 			return err
 		}
-		if (*entry).entryName() == "" {
+		if (*entry).EntryName() == "" {
 			return fmt.Errorf("entry %d of %d has no name", len(entries), length)
 		}
 	}
@@ -52,9 +52,23 @@
 	return 0
 }
 
-func (t TaskStatus) entryName() string  { return t.Task }
-func (c Command) entryName() string     { return c.Task }
-func (m MachineType) entryName() string { return m.Name }
-func (m Machine) entryName() string     { return m.ID }
-func (kv KeyValue) entryName() string   { return kv.Key }
-func (e Event) entryName() string       { return e.Put + e.Delete }
+// EntryName returns the task's name.
+func (t TaskStatus) EntryName() string { return t.Task }
+
+// EntryName returns the name of the command's task.
+func (c Command) EntryName() string { return c.Task }
+
+// EntryName returns the type's name.
+func (m MachineType) EntryName() string { return m.Name }
+
+// EntryName returns the machine's ID.
+func (m Machine) EntryName() string { return m.ID }
+
+// EntryName returns the key.
+func (kv KeyValue) EntryName() string { return kv.Key }
+
+// EntryName returns the key that was set or deleted.
+func (e Event) EntryName() string { return e.Put + e.Delete }
+
+// EntryName returns the job's ID.
+func (s JobStatus) EntryName() string { return s.ID }
