Answers and job files are read up to a limit

What callers saw: nothing yet; found while looking for the same cause on related paths. An answer without an end, of the state service, the cloud or a worker, was read into memory until the request's timeout; `submit` read a file of any size, and the commands an answer of any size.

Cause: httpclient and the commands read bodies with io.ReadAll.

Why the fix works: each client of httpclient has a limit above what the protocol allows its server, and a larger body counts as no valid answer. The protocol limits no watch: if the changes exceed 8 MiB, the watch says that the keys have to be listed again, page by page, which every watcher does already for changes that the service no longer has.

--- a/cmd/dalefront/client.go
+++ b/cmd/dalefront/client.go
@@ -19,6 +19,8 @@
 
 	retryInterval = 500 * time.Millisecond
 	maxRetries    = 60 // at one retry per retryInterval, half a minute in total
+
+	maxResponseBytes = 16 << 20
 )
 
 // addServerFlag adds the flag --server to a command.
@@ -41,7 +43,7 @@
 		return &exitError{exitUnavailable, fmt.Errorf("%w: is a controller running there (--server)?", err)}
 	}
 	defer httpResponse.Body.Close()
-	responseBody, err := io.ReadAll(httpResponse.Body)
+	responseBody, err := readAtMost(httpResponse.Body, maxResponseBytes)
 	if err != nil {
 		return &exitError{exitUnavailable, err}
 	}
@@ -51,6 +53,15 @@
 	return responseError(httpResponse, responseBody)
 }
 
+// readAtMost reads everything. The error names the limit if there is more.
+func readAtMost(reader io.Reader, maxBytes int64) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(reader, maxBytes+1))
+	if err == nil && int64(len(content)) > maxBytes {
+		return nil, fmt.Errorf("larger than %d bytes", maxBytes)
+	}
+	return content, err
+}
+
 // responseError returns the error for a response whose status is not a success.
 func responseError(response *http.Response, body []byte) error {
 	var errorResponse wire.Error
--- a/cmd/dalefront/job.go
+++ b/cmd/dalefront/job.go
@@ -173,18 +173,23 @@
 	return err
 }
 
+// maxJobFileBytes is the maximum size of a job in JSON. A job with names of the longest form has a tenth of it.
+const maxJobFileBytes = 1 << 20
+
 // readJobFile reads a job in JSON, with the field names of the wire protocol, and encodes it as a submission.
 // The file name - stands for standard input.
 func readJobFile(file string) ([]byte, error) {
-	var text []byte
-	var err error
-	if file == "-" {
-		text, err = io.ReadAll(os.Stdin)
-	} else {
-		text, err = os.ReadFile(file)
+	input := os.Stdin
+	if file != "-" {
+		var err error
+		if input, err = os.Open(file); err != nil {
+			return nil, err
+		}
+		defer input.Close()
 	}
+	text, err := readAtMost(input, maxJobFileBytes)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%s: %w", file, err)
 	}
 	return encodeJob(text)
 }
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -32,6 +32,8 @@
 
 	requestTimeout = 4 * time.Second
 	maxConnections = 4
+
+	maxResponseBytes = 1 << 20 // a page of the list with names and addresses of 1 KB
 )
 
 // Client is a rate-limited client of the cloud API. It is safe for concurrent use.
@@ -45,7 +47,7 @@
 func New(addr string, requestsPerSecond, share float64) *Client {
 	limit := requestsPerSecond * share
 	return &Client{
-		httpClient: httpclient.New("http://"+addr, maxConnections, 0),
+		httpClient: httpclient.New("http://"+addr, maxConnections, 0, maxResponseBytes),
 		limiter:    rate.NewLimiter(rate.Limit(limit), max(1, int(limit))),
 	}
 }
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -19,6 +19,9 @@
 // still be executed.
 var ErrNoResponse = errors.New("no answer")
 
+// ErrTooLarge is an ErrNoResponse: the response was larger than the client accepts.
+var ErrTooLarge = errors.New("answer too large")
+
 // StatusError is a response with a status other than 200. Text is the error message in its body.
 type StatusError struct {
 	Code int
@@ -46,15 +49,17 @@
 // Client sends requests to one server. With an empty base URL, each request has an absolute URL and
 // may go to another server. A Client is safe for concurrent use.
 type Client struct {
-	base   string
-	client *http.Client
+	base     string
+	maxBytes int64 // maximum size of a response's body
+	client   *http.Client
 }
 
 // New returns a client for a base URL such as "http://10.0.0.1:80". It opens at most maxConns
-// connections per host and keeps at most maxIdle idle connections in total. 0 means no limit.
-func New(base string, maxConns, maxIdle int) *Client {
+// connections per host and keeps at most maxIdle idle connections in total. 0 means no limit. It reads
+// bodies of at most maxBytes.
+func New(base string, maxConns, maxIdle int, maxBytes int64) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &Client{base: base, client: &http.Client{Transport: &http.Transport{
+	return &Client{base: base, maxBytes: maxBytes, client: &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxConnsPerHost:     maxConns,
 		MaxIdleConnsPerHost: maxConns,
@@ -68,8 +73,8 @@
 
 // Call sends a request and decodes the body of a 200 response into out. The request's body is the
 // message passed as in. Both in and out may be nil. For a response with another status, the error is a
-// *StatusError. Without a valid response, the error wraps ErrNoResponse. The body of a 409 response is
-// decoded into out, too.
+// *StatusError. Without a valid response, the error wraps ErrNoResponse, and ErrTooLarge if the body is too
+// large. The body of a 409 response is decoded into out, too.
 func (c *Client) Call(ctx context.Context, timeout time.Duration, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -82,7 +87,7 @@
 		return fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := c.readBody(response)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
@@ -98,6 +103,21 @@
 	return nil
 }
 
+// readBody reads the body of a response.
+func (c *Client) readBody(response *http.Response) ([]byte, error) {
+	if response.ContentLength > c.maxBytes {
+		return nil, ErrTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > c.maxBytes {
+		return nil, ErrTooLarge
+	}
+	return body, nil
+}
+
 // newRequest returns a request whose body is the encoded message passed as in. If in is nil, the request
 // has no body.
 func (c *Client) newRequest(ctx context.Context, method, path string, in any) (*http.Request, error) {
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -25,7 +25,7 @@
 	// ErrLeaseNotFound means that the lease has expired or was revoked.
 	ErrLeaseNotFound = errors.New(leaseNotFoundText)
 	// ErrCompacted means that the service no longer has the changes since the start revision
-	// of a watch. The watched keys have to be listed again.
+	// of a watch, or that they are too large for one response. The watched keys have to be listed again.
 	ErrCompacted = errors.New("watch too old")
 )
 
@@ -41,9 +41,15 @@
 	maxConnections      = 12   // for all requests except watches
 	maxWatchConnections = 4    // for watches
 	listPageSize        = 1000 // keys per page, the protocol's limit
-	maxAttempts         = 5    // attempts at a request while the service responds with 429
-	burstSeconds        = 0.25 // burst of requests, in seconds of the full rate
-	writeBurstSeconds   = 0.8  // burst of writes, in seconds of the full rate
+
+	// maxResponseBytes is above the protocol's limit of 512 KiB in JSON, where a number may be shorter.
+	maxResponseBytes = 2 << 20
+	// maxWatchResponseBytes limits the changes of a watch, for which the protocol has no limit.
+	maxWatchResponseBytes = 8 << 20
+
+	maxAttempts       = 5    // attempts at a request while the service responds with 429
+	burstSeconds      = 0.25 // burst of requests, in seconds of the full rate
+	writeBurstSeconds = 0.8  // burst of writes, in seconds of the full rate
 )
 
 // Client is a rate-limited client of the state service. It is safe for concurrent use.
@@ -63,8 +69,8 @@
 // controllers. The client uses a part of these limits.
 func New(addr string, requestsPerSecond, writesPerSecond float64, controllers int) *Client {
 	return &Client{
-		requestClient:  httpclient.New("http://"+addr, maxConnections, 0),
-		watchClient:    httpclient.New("http://"+addr, maxWatchConnections, 0),
+		requestClient:  httpclient.New("http://"+addr, maxConnections, 0, maxResponseBytes),
+		watchClient:    httpclient.New("http://"+addr, maxWatchConnections, 0, maxWatchResponseBytes),
 		requestLimiter: newAdaptiveLimiter(requestsPerSecond, controllers, int(requestsPerSecond*burstSeconds)),
 		writeLimiter:   newAdaptiveLimiter(writesPerSecond, controllers, int(writesPerSecond*writeBurstSeconds)),
 	}
@@ -240,7 +246,7 @@
 
 // Watch waits until a key with the prefix changes after the given revision, but at most for the wait time.
 // It returns all changes after the revision. The error is ErrCompacted if the service no longer has all
-// changes after the revision. Reachable ignores the results of watches, because watches stay open during an
+// changes after the revision, or if they are too large for one response. Reachable ignores the results of watches, because watches stay open during an
 // outage.
 func (c *Client) Watch(ctx context.Context, prefix string, revision uint64, wait time.Duration) (wire.Events, error) {
 	if err := c.requestLimiter.wait(ctx, 1, isUrgent(ctx)); err != nil {
@@ -249,7 +255,7 @@
 	query := url.Values{"Starts": {prefix}, "From": {fmt.Sprint(revision)}, "HoldMs": {fmt.Sprint(wait.Milliseconds())}}
 	var events wire.Events
 	err := c.watchClient.Call(ctx, wait+watchTimeoutMargin, http.MethodGet, "/changes?"+query.Encode(), nil, &events)
-	if httpclient.StatusCode(err) == http.StatusGone {
+	if httpclient.StatusCode(err) == http.StatusGone || errors.Is(err, httpclient.ErrTooLarge) {
 		return events, ErrCompacted
 	}
 	if err != nil {
--- a/internal/scaletest/generator.go
+++ b/internal/scaletest/generator.go
@@ -83,7 +83,7 @@
 
 // newGenerator returns a generator that submits jobs to the server at the given address HOST:PORT.
 func newGenerator(spec *Spec, server string) *generator {
-	return &generator{spec: spec, client: httpclient.New("http://"+server, 0, maxIdleConns), idPrefix: time.Now().UnixMilli(), inFlight: make(chan struct{}, maxInFlight),
+	return &generator{spec: spec, client: httpclient.New("http://"+server, 0, maxIdleConns, wire.MaxBodyBytes), idPrefix: time.Now().UnixMilli(), inFlight: make(chan struct{}, maxInFlight),
 		jobs: map[string]*submission{}, histograms: map[string]*hdrhistogram.Histogram{}}
 }
 
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -13,6 +13,8 @@
 const (
 	sendTimeout  = 2 * time.Second
 	connsPerHost = 1
+
+	maxResponseBytes = 1 << 20 // a report, above the protocol's limit for request bodies, wire.MaxBodyBytes
 )
 
 // Client sends commands to workers. It is safe for concurrent use.
@@ -22,7 +24,7 @@
 // soon keep a connection to each machine, and a large cluster would leave no sockets for users.
 func New(maxIdle int) *Client {
 	const minIdle = 1 // 0 would mean no limit
-	return &Client{httpClient: httpclient.New("", connsPerHost, max(minIdle, maxIdle))}
+	return &Client{httpClient: httpclient.New("", connsPerHost, max(minIdle, maxIdle), maxResponseBytes)}
 }
 
 // SendCommands sends stop commands and the fencing token to a worker and returns the worker's status.
