--- a/internal/emulator/balancer.go
+++ b/internal/emulator/balancer.go
@@ -151,7 +151,7 @@
 	if !strings.HasPrefix(resp.Request.URL.Path, wire.PathJobs) {
 		return nil
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
 		return err
 	}
--- a/internal/emulator/services.go
+++ b/internal/emulator/services.go
@@ -237,9 +237,13 @@
 	_, _ = w.Write(b)
 }
 
+// maxRequestBytes is the maximum size of a request to a service. The largest is a transaction, whose encoding may be
+// larger than its JSON form, which counts.
+const maxRequestBytes = 4 * wire.MaxTxnBytes
+
 // decodeBody decodes the body of a request into v and reports whether it succeeded.
 func decodeBody(r *http.Request, v any) bool {
-	b, err := io.ReadAll(r.Body)
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
 	return err == nil && wire.Unmarshal(b, v) == nil
 }
 
