--- a/cmd/dalefront/serve.go
+++ b/cmd/dalefront/serve.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	setMemoryLimit(settings.Deployment.Resources.MemoryMB)
+	setMemoryLimit(&settings.Deployment.Resources)
 	ctrl, err := controller.New(settings, slog.New(handler))
 	if err != nil {
 		return err
@@ -63,14 +63,12 @@
 	// this limit the runtime collects garbage more often. The limit is below the RAM because the platform kills
 	// a process that exceeds its RAM.
 	memoryLimitShare = 0.6
-
-	bytesPerMB = 1 << 20
 )
 
-// setMemoryLimit configures the garbage collector for a process that may use the given RAM.
-func setMemoryLimit(megabytes float64) {
+// setMemoryLimit configures the garbage collector for a process that may use the given resources.
+func setMemoryLimit(resources *config.Resources) {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(megabytes * memoryLimitShare * bytesPerMB))
+	debug.SetMemoryLimit(resources.MemoryBytes(memoryLimitShare))
 }
 
 // handleSignals makes the controller drain on the first SIGTERM or interrupt, and transfer leadership on each
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"dalefront/internal/config"
 	"dalefront/wire"
 )
 
@@ -48,14 +49,14 @@
 
 // Handler returns the handler for all paths of a service, with metrics as the handler of /metrics.
 // The paths of JobLister and ScheduleService are served if the service implements these interfaces.
-// A share of the process's memory, in megabytes, limits the bodies that are handled at a time.
-func Handler(service Service, metrics http.Handler, memoryMB float64) http.Handler {
+// Shares of the controller's memory limit the bodies that are handled at a time.
+func Handler(service Service, metrics http.Handler, resources *config.Resources) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics)
 	mux.HandleFunc("GET "+wire.PathHealth, handleHealth(service))
 	mux.HandleFunc("POST "+wire.PathHeartbeat,
-		handleHeartbeat(service, newBodyReader(maxHeartbeatBytes, memoryMB, heartbeatMemoryShare)))
-	routeJobs(mux, service, newBodyReader(wire.MaxBodyBytes, memoryMB, submissionMemoryShare))
+		handleHeartbeat(service, newBodyReader(maxHeartbeatBytes, resources.MemoryBytes(heartbeatMemoryShare))))
+	routeJobs(mux, service, newBodyReader(wire.MaxBodyBytes, resources.MemoryBytes(submissionMemoryShare)))
 	if lister, ok := service.(JobLister); ok {
 		routeJobList(mux, lister)
 	}
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"testing"
 
+	"dalefront/internal/config"
 	"dalefront/wire"
 )
 
@@ -36,8 +37,8 @@
 }
 func (f *fakeService) Ready() error { return f.err }
 
-// memoryMB is the memory of the smallest deployment's controllers.
-const memoryMB = 98
+// resources are those of the smallest deployment's controllers.
+var resources = &config.Resources{Cores: 0.144, MemoryMB: 98, Sockets: 800}
 
 func serve(t *testing.T, f Service) string {
 	t.Helper()
@@ -51,7 +52,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := NewServer(Handler(f, http.NotFoundHandler(), memoryMB), sockets)
+	srv := NewServer(Handler(f, http.NotFoundHandler(), resources), sockets)
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	return "http://" + l.Addr().String()
--- a/internal/api/body.go
+++ b/internal/api/body.go
@@ -20,8 +20,6 @@
 	heartbeatMemoryShare  = 1.0 / 32
 )
 
-const bytesPerMB = 1 << 20
-
 // bodyReader reads the bodies of one kind of request. Bodies that would exceed its share of the memory wait until
 // others are handled, so that any number of large bodies at once can't exceed the memory. Each kind of request has
 // a reader of its own: clients that send their bodies slowly delay only requests of their kind.
@@ -30,10 +28,10 @@
 	memory   *semaphore.Weighted
 }
 
-// newBodyReader returns a reader that may use a share of the process's memory, in megabytes, and at least as much as
-// the largest body takes.
-func newBodyReader(maxBytes int64, memoryMB, share float64) *bodyReader {
-	return &bodyReader{maxBytes: maxBytes, memory: semaphore.NewWeighted(max(maxBytes, int64(memoryMB*share*bytesPerMB)))}
+// newBodyReader returns a reader of bodies that may use memoryBytes at a time, and at least as much as the largest
+// body takes.
+func newBodyReader(maxBytes, memoryBytes int64) *bodyReader {
+	return &bodyReader{maxBytes: maxBytes, memory: semaphore.NewWeighted(max(maxBytes, memoryBytes))}
 }
 
 // read returns the body of a request. The caller calls release once the request is handled. The error is
--- a/internal/api/malformed_test.go
+++ b/internal/api/malformed_test.go
@@ -60,9 +60,6 @@
 	}
 }
 
-// sockets is the socket budget of the smallest deployment's controllers.
-const sockets = 800
-
 // slowService handles heartbeats slowly and records how many it handles at a time.
 type slowService struct {
 	fakeService
@@ -110,7 +107,7 @@
 	const requests = 150
 	body := largeHeartbeat(t)
 	service := &slowService{delay: 200 * time.Millisecond}
-	url := serveConns(t, service, sockets) + wire.PathHeartbeat
+	url := serveConns(t, service, resources.Sockets) + wire.PathHeartbeat
 	var clients sync.WaitGroup
 	for range requests {
 		clients.Go(func() {
@@ -126,7 +123,7 @@
 		})
 	}
 	clients.Wait()
-	if limit := int(memoryMB * heartbeatMemoryShare * bytesPerMB / float64(len(body))); service.peak > limit {
+	if limit := int(resources.MemoryBytes(heartbeatMemoryShare)) / len(body); service.peak > limit {
 		t.Errorf("%d bodies were handled at a time, want %d at most", service.peak, limit)
 	}
 	if service.handled != requests || service.late > 0 {
@@ -138,7 +135,7 @@
 // and don't keep other users waiting for longer than the read timeout.
 func TestSlowBodiesDelayOnlyTheirKind(t *testing.T) {
 	const slowUsers = 60
-	address := strings.TrimPrefix(serveConns(t, &fakeService{}, sockets), "http://")
+	address := strings.TrimPrefix(serveConns(t, &fakeService{}, resources.Sockets), "http://")
 	var answers sync.WaitGroup
 	for range slowUsers {
 		conn, err := net.Dial("tcp", address)
--- a/internal/api/routes_test.go
+++ b/internal/api/routes_test.go
@@ -47,7 +47,7 @@
 func request(t *testing.T, service Service, method, target string) int {
 	t.Helper()
 	recorder := httptest.NewRecorder()
-	Handler(service, http.NotFoundHandler(), memoryMB).ServeHTTP(recorder, httptest.NewRequest(method, target, nil))
+	Handler(service, http.NotFoundHandler(), resources).ServeHTTP(recorder, httptest.NewRequest(method, target, nil))
 	return recorder.Code
 }
 
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := NewServer(Handler(&fakeService{}, http.NotFoundHandler(), memoryMB), sockets)
+	srv := NewServer(Handler(&fakeService{}, http.NotFoundHandler(), resources), sockets)
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	var conns []net.Conn
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -96,7 +96,13 @@
 	Sockets  int     `toml:"sockets"` // open connections
 }
 
-const bytesPerKiB = 1024
+const (
+	bytesPerKiB = 1 << 10
+	bytesPerMB  = 1 << 20
+)
+
+// MemoryBytes returns a share of the memory, in bytes.
+func (r *Resources) MemoryBytes(share float64) int64 { return int64(r.MemoryMB * share * bytesPerMB) }
 
 // TxnLimits returns the state service's limits for a transaction.
 func (s *Settings) TxnLimits() wire.TxnLimits {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -188,7 +188,7 @@
 		return err
 	}
 	sockets := c.settings.Deployment.Resources.Sockets
-	handler := api.Handler(c, c.metrics(), c.settings.Deployment.Resources.MemoryMB)
+	handler := api.Handler(c, c.metrics(), &c.settings.Deployment.Resources)
 	httpServer := api.NewServer(handler, sockets-maxIdleWorkerConns(sockets))
 	rpcServer := peer.NewServer(c, sockets)
 	failed := make(chan error, 2)
--- a/internal/controller/standbycopy.go
+++ b/internal/controller/standbycopy.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 
+	"dalefront/internal/config"
 	"dalefront/internal/dynconfig"
 	"dalefront/internal/sched"
 	"dalefront/internal/standby"
@@ -13,17 +14,16 @@
 const (
 	copyPageSize    = 500  // keys per page of a full read
 	copyMemoryShare = 0.15 // share of a controller's memory that a copy may use
-	bytesPerMB      = 1 << 20
 )
 
 // followedPrefixes lists the key prefixes that a takeover needs, in the order in which they are read. A copy
 // also holds the end record of each ended job whose job record it holds.
 var followedPrefixes = []string{jobPrefix, progressPrefix, ledgerPrefix, statisticsKey, scaleOutPrefix, schedulePrefix, dynconfig.Prefix}
 
-// newStandbyCopy returns an empty copy for a controller with ramMB megabytes of memory. The copy may use
-// the share copyMemoryShare of that memory.
-func newStandbyCopy(ramMB float64) *standby.Copy {
-	return standby.NewCopy(isFollowed, owningKey, decodeStored, standby.Limits{MaxBytes: int(ramMB * copyMemoryShare * bytesPerMB)})
+// newStandbyCopy returns an empty copy, which may use the share copyMemoryShare of a controller's memory.
+func newStandbyCopy(resources *config.Resources) *standby.Copy {
+	limits := standby.Limits{MaxBytes: int(resources.MemoryBytes(copyMemoryShare))}
+	return standby.NewCopy(isFollowed, owningKey, decodeStored, limits)
 }
 
 // isFollowed reports whether a key belongs in a copy.
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stateCopy := newStandbyCopy(c.settings.Deployment.Resources.MemoryMB)
+	stateCopy := newStandbyCopy(&c.settings.Deployment.Resources)
 	stateCopy.Load(append(entries, ends...), first, c.now())
 	return stateCopy, nil
 }
