review: case 6, a job waits beside room that two gangs claim by turns

Gangs that are not allowed to stop lower work claim the machines for it all the same, one while the other pauses, and lower work is left waiting for 90 s and longer.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -25,6 +25,7 @@
 	"spread":  playSpread,
 	"service": playService,
 	"order":   playOrder,
+	"claims":  playClaims,
 }
 
 func main() {
