--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,6 +26,7 @@
 	"service": playService,
 	"order":   playOrder,
 	"claims":  playClaims,
+	"status":  playStatus,
 }
 
 func main() {
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -38,6 +38,7 @@
 
 	dir         string // temporary folder with the settings
 	controllers []*controller
+	gates       map[[2]string]*gate // by the labels of two controllers; none in most cases
 	began       time.Time
 	user        http.Client
 
@@ -73,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{state: newStateService(), teams: teams, dir: dir, began: time.Now(), record: record}
+	s := &site{state: newStateService(), teams: teams, dir: dir, began: time.Now(), record: record, gates: map[[2]string]*gate{}}
 	s.user = http.Client{Timeout: 5 * time.Second}
 	s.cloud = newCloud(s)
 	for i := range 3 {
@@ -216,7 +217,7 @@
 	fmt.Fprintf(&b, "label = %q\nzone = %q\nserve_on = %q\nmesh_addr = %q\n", c.label, c.zone, c.addr, c.mesh)
 	for _, member := range s.controllers {
 		if member != c {
-			fmt.Fprintf(&b, "[[members]]\nlabel = %q\nzone = %q\naddr = %q\n", member.label, member.zone, member.mesh)
+			fmt.Fprintf(&b, "[[members]]\nlabel = %q\nzone = %q\naddr = %q\n", member.label, member.zone, s.meshAddr(c, member))
 		}
 	}
 	fmt.Fprintf(&b, "[endpoints]\ncloud = %q\nstate = %q\n", cloudAddr, stateAddr)
--- a/review/standin2/waiting.go
+++ b/review/standin2/waiting.go
@@ -52,6 +52,11 @@
 
 // setUp starts a site with the given machines, each written as its zone, and " spot" behind it for a cheap one.
 func setUp(machines ...string) (*site, []*machine, error) {
+	return setUpWith(func(*site) error { return nil }, machines...)
+}
+
+// setUpWith does the same, and prepares the site before the controllers start.
+func setUpWith(prepare func(*site) error, machines ...string) (*site, []*machine, error) {
 	s, err := newSite([]string{"harju", "tartumaa"}, deployed())
 	if err != nil {
 		return nil, nil, err
@@ -63,7 +68,7 @@
 		}
 	}
 	all := slices.Clone(s.cloud.machines)
-	if err == nil {
+	if err = errors.Join(err, prepare(s)); err == nil {
 		s.cloud.startWorkers()
 		err = s.start()
 	}
