--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,11 +22,11 @@
 
 // cases are the cases by name. Each returns the exit status.
 var cases = map[string]func(trouble bool) (int, error){
-	"spread":  playSpread,
-	"service": playService,
-	"order":   playOrder,
-	"claims":  playClaims,
-	"status":  playStatus,
+	"spread":   playSpread,
+	"service":  playService,
+	"claims":   playClaims,
+	"status":   playStatus,
+	"handover": playHandover,
 }
 
 func main() {
--- a/review/standin2/status.go
+++ b/review/standin2/status.go
@@ -133,34 +133,48 @@
 	if err := s.fillEach(long, 120*time.Second); err != nil {
 		return notRun, err
 	}
-	path := wire.PathJobs + "/" + long.ID
-	for _, c := range s.controllers { // all of them say that it runs
-		if !until(10*time.Second, func() bool {
-			_, status := s.send(c, http.MethodGet, path, nil)
-			return status.Status == wire.JobRunning
-		}) {
-			return notRun, fmt.Errorf("%s does not say that the job runs", c.label)
-		}
+	if err := s.awaitRunning(long.ID); err != nil {
+		return notRun, err
 	}
 	if trouble {
 		s.shutGates(refusedFor)
 	}
+	if s.askAll(long.ID, refusedFor-maxLag) > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// awaitRunning waits until all controllers have said that a job runs.
+func (s *site) awaitRunning(id string) error {
+	for _, c := range s.controllers {
+		runs := func() bool {
+			_, status := s.send(c, http.MethodGet, wire.PathJobs+"/"+id, nil)
+			return status.Status == wire.JobRunning
+		}
+		if !until(10*time.Second, runs) {
+			return fmt.Errorf("%s does not say that %s runs", c.label, id)
+		}
+	}
+	return nil
+}
+
+// askAll asks all controllers about a job once a second. It returns how often one said that no task of the job runs while
+// a task had been running for longer than a state may lag.
+func (s *site) askAll(id string, spell time.Duration) int {
 	var wrong []string
-	for began := time.Now(); time.Since(began) < refusedFor-maxLag; time.Sleep(time.Second) {
+	for began := time.Now(); time.Since(began) < spell; time.Sleep(time.Second) {
 		for _, c := range s.controllers {
-			code, status := s.send(c, http.MethodGet, path, nil)
-			if runs := s.cloud.runsFor(long.ID); code == http.StatusOK && status.Status == wire.JobQueued && runs > maxLag {
-				s.note("check: BROKEN: %s calls %s queued, whose task has been running for %v", c.label, long.ID, runs.Round(time.Second))
+			code, status := s.send(c, http.MethodGet, wire.PathJobs+"/"+id, nil)
+			if runs := s.cloud.runsFor(id); code == http.StatusOK && status.Status == wire.JobQueued && runs > maxLag {
+				s.note("check: BROKEN: %s calls %s queued, whose task has been running for %v", c.label, id, runs.Round(time.Second))
 				wrong = append(wrong, c.label)
 			}
 		}
 	}
 	slices.Sort(wrong)
-	s.note("check: %d wrong answers, by %v", len(wrong), slices.Compact(wrong))
-	if len(wrong) > 0 {
-		return broken, nil
-	}
-	return held, nil
+	s.note("check: %d wrong answers, by %v", len(wrong), slices.Compact(slices.Clone(wrong)))
+	return len(wrong)
 }
 
 // runsFor returns how long the job's task has been running, 0 if it does not run.
